--- /dev/null
+++ b/yardspindle/__init__.py
@@ -0,0 +1,5 @@
+"""yardspindle: decisions of a router that pairs prompt readers with answer writers."""
+
+from yardspindle.policy import Policy
+
+__all__ = ["Policy"]
