--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -12,9 +12,12 @@
 SWEEP_US = 20_000  # how often waiting requests and silent servers are looked at; far under any release time
 TRIAL_US = 250_000  # a suspect's first pause; doubled for each further failure, as its cause may last
 BUSY_US = 100_000  # a writer that was full gets no new work for about the time of a few tokens
-AIM_PART_READER = 0.25  # part of the aim that our own tokens may wait at a reader before the next is asked
-BOUND_TIMES_MEAN = 1.5  # bounded loads: a reader may carry this many times our mean before the next is asked
-SILENT_TIMES = 4.0  # a server is silent once it exceeds what peers need this many times
+AIM_PART_READER = 0.25  # part of the aim our tokens may wait at a reader; past it the next, past twice none
+SILENT_TIMES = 4.0  # a server is silent once it has given no sign for this many times what is usual
+SILENT_AIM_PART = 0.5  # and for this part of the shortest aim: a short pause is no symptom
+RESCUE_PART = 0.1  # rescues a send has earned: a shared slowness must not multiply the work
+RESCUES_MOST = 8.0  # saved up for the moment when a server falls silent with its work
+WAIT_AIM_PART = 0.4  # part of the aim that may be spent waiting before the read; the rest is for the work
 COLD_MARGIN = 0.6  # part of the cold budget that is used: peers may carry more than their even part
 MEMORY_PART = 0.9  # part of a writer's memory that counts as room; answers grow after they start
 SMOOTH = 0.1  # weight of a new observation in every running mean
@@ -36,9 +39,8 @@
     strikes: int = 0
     shut_until: int = 0
     sign_us: int = 0  # when it last answered anything of ours
-    sends: deque[tuple[int, float]] = field(default_factory=deque)  # sends in the span of the cold rule
-    rate: float = 0.0  # own weight sent a span, a running mean
-    load: dict[str, float] = field(default_factory=dict)
+    sends: deque[int] = field(default_factory=deque)  # sends in the span of the cold rule
+    kept: dict[str, float] = field(default_factory=dict)  # texts it has read for us: tokens
 
 
 @dataclass(slots=True)
@@ -47,20 +49,20 @@
 
     ask: i.Request
     cls: i.RequestClass
-    came_us: int
     aim_us: float
+    backlog: float = 0.0  # our tokens at the reader when it was sent there
+    waits_us: int = 0  # since when it waits
     attempts: int = 0
     out: dict[int, Server] = field(default_factory=dict)
     reader: Server | None = None  # holds the state, or is reading it
     place: Server | None = None  # writer where a place is asked or held
-    has_state: bool = False
     streaming: bool = False
     pinned_us: int = 0  # since when a state or place is held with no attempt out; 0 when none
     ran: bool = False  # an attempt may have run
     ran_us: int = 0
     ran_on: Server | None = None
     avoid: set[int] = field(default_factory=set)
-    counted: dict[int, tuple[Server, float]] = field(default_factory=dict)
+    reads: dict[int, float] = field(default_factory=dict)  # attempts that read: tokens counted at the reader
 
 
 class Policy:
@@ -75,9 +77,11 @@
         self.servers: dict[int, Server] = {}
         self.open: dict[int, Open] = {}
         self.waiting: dict[int, Open] = {}
-        self.orders: dict[str, list[Server]] = {}
-        self.read_rate = 0.0  # prompt tokens a second that a reader's answers have shown
-        self.first_us = 0.0  # running mean time to the first token at writers
+        self.usual = {role: 0.0 for role in i.Role}  # running mean time of a sign: end of a read, first token
+        self.read_tokens = 0.0  # running mean of our tokens ahead of a read and its own
+        self.carried = {role: 0.0 for role in i.Role}  # own sends in a cold span at a warm server
+        self.least_aim = min(cls.aim_us for cls in settings.classes)
+        self.rescues = RESCUES_MOST
         self.sweep_set = False
         self.acts: list[i.Action] = []
 
@@ -89,15 +93,11 @@
                 self._members(event)
             case i.Request():
                 self._arrive(event)
-            case i.First():
-                self._first(event)
-            case i.Note():
-                self._note(event)
             case i.Outcome():
                 self._outcome(event)
-            case i.Hangup(request) if request in self.open:
-                self._end(self.open[request], None)
-            case i.Timer(token) if token == SWEEP_TOKEN:
+            case i.First() | i.Note() | i.Hangup() if event.request in self.open:
+                self._heard(self.open[event.request], event)
+            case i.Timer():
                 self._sweep()
             case _:
                 pass
@@ -122,19 +122,35 @@
             elif entry.up_since_us > known.entry.up_since_us:  # restarted: what we held against it is void
                 known.strikes, known.shut_until = 0, 0
                 known.sends.clear()
+                known.kept.clear()
             known.entry, known.gone = entry, entry.state is not i.State.SERVING
         if event.list_kind is not i.ListKind.CHANGES:
             for number, server in self.servers.items():
                 server.gone = server.gone or number not in named
-        self.orders.clear()
 
-    def _strike(self, server: Server) -> None:
-        """A failure that speaks against the server: pause it, then let single trials through."""
+    def _strike(self, server: Server) -> None:  # pause it, then let single trials through
         server.strikes += 1
         server.shut_until = self.now + TRIAL_US * (1 << min(server.strikes - 1, 3))
 
-    def _sign(self, server: Server) -> None:
-        """Any answer shows that the server lives."""
+    def _learn(self, role: i.Role, latency_us: float) -> None:
+        self.usual[role] += SMOOTH * (latency_us - self.usual[role])
+
+    def _silent(self, server: Server) -> bool:
+        """Whether nothing has come from a server for far longer than its work explains.
+
+        It catches hangs, cut links, stalls and pauses alike. It would harm if all were slow together, so what
+        is usual follows what is seen, and `_pool` ejects none when most look bad.
+        """
+        if not server.out:
+            return False
+        (number, _), sent = next(iter(server.out.items()))
+        least, most = SILENT_AIM_PART * self.least_aim, 2 * SILENT_AIM_PART * self.least_aim
+        allowed = min(max(SILENT_TIMES * self.usual[server.role], least), most)
+        if server.role is i.Role.READ and number in self.open:  # a long prompt is no silence
+            allowed += 2 * self._new(self.open[number], server) / max(self._read_rate(), 1e-9)
+        return self.now - max(sent, server.sign_us) > allowed
+
+    def _sign(self, server: Server) -> None:  # any answer shows that the server lives
         server.sign_us, server.strikes = self.now, 0
 
     def _warmth(self, server: Server) -> float:
@@ -149,68 +165,70 @@
         warmth = self._warmth(server)
         if warmth >= 1:
             return True
-        like = [s.rate for s in self.servers.values() if s.role is server.role and not s.gone
-                and s is not server and self._warmth(s) >= 1]
-        carried = sum(like) / len(like) if like else 0.0
-        spent = sum(1 for at, _ in server.sends if at > self.now - self.set.fall_us)
-        return spent + 1 <= max(1.0, COLD_MARGIN * self.set.fall_multiple * warmth * carried)
+        spent = sum(1 for at in server.sends if at > self.now - self.set.fall_us)
+        return spent + 1 <= max(
+            1.0, COLD_MARGIN * self.set.fall_multiple * warmth * self.carried[server.role])
 
-    def _usable(self, server: Server, r: Open | None = None) -> bool:
+    def _usable(self, server: Server, r: Open) -> bool:
         """Serving, not shut, within the cold budget, and if suspect with no trial out."""
         if server.gone or self.now < server.shut_until or (server.strikes and server.out):
             return False
-        fits = r is None or server.entry.server not in r.avoid and self._may_run(r, server)
-        return fits and self._budget(server)
+        return self._fits(server, r) and self._budget(server)
+
+    def _fits(self, server: Server, r: Open) -> bool:
+        return server.entry.server not in r.avoid and self._may_run(r, server)
 
     def _pool(self, roles: tuple[i.Role, ...], r: Open) -> list[Server]:
         """Servers of a role that may be sent to; when most look bad the cause is shared and none is shut."""
         known = [s for s in self.servers.values() if s.role in roles and not s.gone]
         good = [s for s in known if self._usable(s, r)]
-        bad = [s for s in known if s.strikes]
-        if not good and 2 * len(bad) > len(known):
-            good = [s for s in known if self._budget(s) and s.entry.server not in r.avoid
-                    and self._may_run(r, s)]
+        if not good and 2 * sum(1 for s in known if s.strikes) > len(known):
+            good = [s for s in known if self._budget(s) and self._fits(s, r)]
         return good
 
     # --- reader choice
 
-    def _order(self, key: str) -> list[Server]:
-        """Rendezvous order of the readers for a key: the same at every router."""
-        if key not in self.orders:
-            if len(self.orders) > 4096:
-                self.orders.clear()
-            readers = [s for s in self.servers.values() if s.role is not i.Role.WRITE]
-            self.orders[key] = sorted(readers, key=lambda s: blake2b(
-                f"{key} {s.entry.server}".encode(), digest_size=8).digest())
-        return self.orders[key]
+    def _new(self, r: Open, server: Server) -> float:
+        """Prompt tokens that the reader must read: all but what it has read for us before."""
+        kept = max(server.kept.get(r.ask.prefix or "", 0.0), server.kept.get(r.ask.session or "", 0.0))
+        return max(r.ask.prompt_tokens - kept, 1.0)
+
+    def _read_rate(self) -> float:
+        """Tokens of ours a microsecond that a reader has got through, whatever else it had to do."""
+        return self.read_tokens / max(self.usual[i.Role.READ], 1.0)
 
     def _reader(self, r: Open) -> Server | None:
         """The first reader in the key's order that our waiting tokens leave under the bound."""
-        good = {s.entry.server for s in self._pool((i.Role.READ, i.Role.BOTH), r)}
-        order = [s for s in self._order(r.ask.prefix or r.ask.session or str(r.ask.request))
-                 if s.entry.server in good]
+        key = r.ask.prefix or r.ask.session or str(r.ask.request)
+        order = sorted(self._pool((i.Role.READ, i.Role.BOTH), r), key=lambda s: blake2b(
+            f"{key} {s.entry.server}".encode(), digest_size=8).digest())  # the same at every router
         if not order:
             return None
-        mean = (sum(s.tokens for s in order) + r.ask.prompt_tokens) / len(order)
-        bound = max(BOUND_TIMES_MEAN * mean, AIM_PART_READER * r.aim_us * self.read_rate / 1e6)
-        return next((s for s in order if s.tokens <= bound), order[0])
+        bound = AIM_PART_READER * r.aim_us * self._read_rate()
+        cells = {w.entry.cell for w in self._writers(r)}
+        near = [s for s in order if s.entry.cell in cells] or order
+        if near[0].tokens + self._new(r, near[0]) > bound:
+            near.sort(key=lambda s: s.tokens + self._new(r, s))
+        return near[0] if not near[0].tokens or near[0].tokens + self._new(r, near[0]) <= 2 * bound else None
 
     # --- writer choice
 
-    def _full(self, server: Server, r: Open) -> bool:
-        """A writer's known memory bounds what we give it, our part by the number of routers."""
-        room = MEMORY_PART * server.memory / self.set.instances
-        return server.memory > 0 and server.streams > 0 and server.held + r.ask.prompt_tokens > room
-
-    def _writer(self, r: Open, cell: int | None, but: Server | None = None) -> Server | None:
-        """The writer with fewest of our streams for what it can do now; the cell's own if it has one."""
-        good = [s for s in self._pool((i.Role.WRITE, i.Role.BOTH), r) if s is not but]
-        free = [s for s in good if not self._full(s, r)]
-        near = [s for s in free if s.entry.cell == cell] or free
-        if not near:
-            return None
-        return min(near, key=lambda s: ((s.streams + 1) / max(s.entry.units, 1e-9) / self._warmth(s),
-                                        self.random.random()))
+    def _writers(self, r: Open) -> list[Server]:
+        """Writers with room: their known memory bounds what we give, an even part each router."""
+        room = MEMORY_PART / self.set.instances
+        return [s for s in self._pool((i.Role.WRITE, i.Role.BOTH), r) if not s.memory or not s.streams
+                or s.held + r.ask.prompt_tokens <= room * s.memory]
+
+    def _writer(self, r: Open) -> Server | None:
+        """The writer with fewest of our streams for what it can do now; of the reader's cell if that has one.
+
+        Dividing by what it can do keeps a cold writer from being taken for the emptiest.
+        """
+        free = self._writers(r)
+        near = [s for s in free if r.reader is not None and s.entry.cell == r.reader.entry.cell] or free
+        loads = [((s.streams + 1) / max(s.entry.units, 1e-9) / self._warmth(s), self.random.random(), s)
+                 for s in near]
+        return min(loads, key=lambda load: load[:2])[2] if loads else None
 
     def _may_run(self, r: Open, server: Server) -> bool:
         """Whether an attempt that may take effect can go to this server."""
@@ -218,52 +236,56 @@
             return True
         if r.cls.effect is i.Effect.UNSAFE or r.ran_on is None or self.now >= r.ran_us + r.cls.window_us:
             return False
-        here, there = server.entry, r.ran_on.entry
-        return r.cls.group == "all" or (here.zone == there.zone if r.cls.group == "zone" else
-                                        here.cell == there.cell)
+        one, two = server.entry, r.ran_on.entry
+        same = {"all": True, "zone": one.zone == two.zone, "cell": one.cell == two.cell}
+        return same.get(r.cls.group, False)
 
     # --- request life cycle
 
     def _arrive(self, ask: i.Request) -> None:
         cls = self.classes[ask.cls]
         aim = cls.aim_us + cls.aim_us_per_1000_prompt_tokens * ask.prompt_tokens / 1000
-        r = self.open[ask.request] = Open(ask, cls, self.now, aim)
+        r = self.open[ask.request] = Open(ask, cls, aim)
         self._start(r)
 
-    def _send(self, r: Open, server: Server, weight: float, timeout_us: int) -> None:
+    def _send(self, r: Open, server: Server, tokens: float = 0.0) -> None:
         server.out[(r.ask.request, r.attempts)] = self.now
         r.out[r.attempts] = server
-        r.counted[r.attempts] = (server, weight)
+        if tokens:
+            r.reads[r.attempts] = tokens
         r.attempts += 1
         r.pinned_us = 0
-        span = max(self.set.fall_us, 1)
-        while server.sends and server.sends[0][0] <= self.now - span:
+        while server.sends and server.sends[0] <= self.now - self.set.fall_us:
             server.sends.popleft()
-        server.sends.append((self.now, weight))
-        server.rate += SMOOTH * (len(server.sends) - server.rate)
-        self.acts.append(i.Send(r.ask.request, server.entry.server, timeout_us))
+        server.sends.append(self.now)
+        if self._warmth(server) >= 1:
+            self.carried[server.role] += SMOOTH * (len(server.sends) - self.carried[server.role])
+        self.rescues = min(self.rescues + RESCUE_PART, RESCUES_MOST)
+        self.acts.append(i.Send(r.ask.request, server.entry.server))
 
     def _start(self, r: Open) -> None:
         """Begin to read: the reader of the prefix hash, and with the read a place at its cell's writer."""
         self.waiting.pop(r.ask.request, None)
-        r.has_state, r.reader = False, None
+        r.reader = None
         if r.attempts + 2 > self.set.max_attempts or self.now >= r.ask.expires_us - self.set.tick_us:
             return self._end(r, "time")
         reader = self._reader(r)
         if reader is not None and reader.role is i.Role.BOTH:
             return self._write(r, reader)  # a mixed server takes its share whole
-        writer = self._writer(r, reader.entry.cell if reader else None)
+        r.reader = reader
+        writer = self._writer(r)
         if writer is None:
             return self._wait(r)
         if reader is None:
-            return self._write(r, writer) if self.set.writers_read else self._wait(r)
-        r.reader = reader
-        reader.tokens += r.ask.prompt_tokens
-        self._send(r, reader, r.ask.prompt_tokens, 0)
+            none = not any(s.role is not i.Role.WRITE and not s.gone for s in self.servers.values())
+            return self._write(r, writer) if self.set.writers_read and none else self._wait(r)
+        new = self._new(r, reader)
+        reader.tokens += new
+        r.backlog = reader.tokens
+        self._send(r, reader, new)
         if self.set.ahead:
             r.place = writer
-            writer.streams += 1
-            writer.held += r.ask.prompt_tokens
+            self._take(r, writer)
             self.acts.append(i.Ahead(r.ask.request, writer.entry.server))
         return None
 
@@ -271,24 +293,36 @@
         """Send to a writer (or a mixed server)."""
         if r.place is not server:
             self._unplace(r)
-            server.streams += 1
-            server.held += r.ask.prompt_tokens
+            self._take(r, server)
         r.place = None
-        self._send(r, server, 0, 0)
+        self._send(r, server)
+
+    def _take(self, r: Open, writer: Server, sign: int = 1) -> None:
+        """Count (or with -1 no longer count) a stream or place of ours at a writer."""
+        writer.streams += sign
+        writer.held += sign * r.ask.prompt_tokens
 
     def _unplace(self, r: Open) -> None:
         if r.place is not None:
-            r.place.streams -= 1
-            r.place.held -= r.ask.prompt_tokens
+            self._take(r, r.place, -1)
             r.place = None
 
+    def _uncount(self, r: Open, seq: int) -> bool:
+        """An attempt is over; tells whether it was a read."""
+        server, tokens = r.out.pop(seq), r.reads.pop(seq, 0.0)
+        server.out.pop((r.ask.request, seq), None)
+        server.tokens -= tokens
+        if not tokens:
+            self._take(r, server, -1)
+        return tokens > 0
+
     def _next(self, r: Open) -> None:
         """After a read, or after a writer turned the request away: to the place, else to another writer."""
         if self.now >= r.ask.expires_us - self.set.tick_us or r.attempts >= self.set.max_attempts:
             return self._end(r, "time")
         if r.place is not None and self._usable(r.place, r):
             return self._write(r, r.place)
-        writer = self._writer(r, r.reader.entry.cell if r.reader else None)
+        writer = self._writer(r)
         if writer is not None:
             return self._write(r, writer)
         r.pinned_us = r.pinned_us or self.now
@@ -296,59 +330,48 @@
 
     def _wait(self, r: Open) -> None:
         """Every writer is full, or no reader is there: wait before the read, for a bounded time."""
+        r.waits_us = r.waits_us or self.now
         self.waiting[r.ask.request] = r
         if self.now >= r.ask.expires_us - 2 * SWEEP_US:
             self._end(r, "time")
 
-    def _note(self, event: i.Note) -> None:
-        r = self.open.get(event.request)
-        if r is None or r.place is None or r.place.entry.server != event.server:
-            return
-        if not event.held:
-            self._unplace(r)
-
-    def _first(self, event: i.First) -> None:
-        r = self.open.get(event.request)
-        server = self.servers.get(event.server)
-        if r is None or server is None or event.attempt not in r.out:
-            return
-        self._sign(server)
-        server.out.pop((event.request, event.attempt), None)
-        self.first_us += SMOOTH * (event.latency_us - self.first_us)
-        r.streaming, r.has_state, r.pinned_us = True, False, 0
+    def _heard(self, r: Open, event: i.First | i.Note | i.Hangup) -> None:
+        """News of a request in between: its client left, its place is not to be had, its answer has begun."""
+        if isinstance(event, i.Hangup):
+            self._end(r, None)
+        elif isinstance(event, i.Note):
+            if not event.held and r.place is not None and r.place.entry.server == event.server:
+                self._unplace(r)
+        elif event.attempt in r.out:
+            server = r.out[event.attempt]
+            self._sign(server)
+            server.out.pop((event.request, event.attempt), None)
+            self._learn(server.role, event.latency_us)
+            r.streaming, r.pinned_us = True, 0
 
     def _outcome(self, event: i.Outcome) -> None:
         server, r = self.servers[event.server], self.open.get(event.request)
-        server.out.pop((event.request, event.attempt), None)
-        if event.load:
-            server.load = dict(event.load)
         status = event.status
         if status in (i.Status.READ, i.Status.SERVED):
             self._sign(server)
         elif status is i.Status.FULL and event.note == 0:
             server.sign_us, server.shut_until = self.now, max(server.shut_until, self.now + BUSY_US)
-        elif status in (i.Status.CONNECT_FAILED, i.Status.RESET, i.Status.TIMEOUT) and not (
-                r is not None and self.now >= r.ask.expires_us):
+        elif status in (i.Status.CONNECT_FAILED, i.Status.RESET):
             self._strike(server)
         if r is None:
             if status is i.Status.READ:  # read for a request that has ended: nothing may stay pinned
                 self.acts.append(i.Discard(event.request))
             return None
-        r.out.pop(event.attempt, None)
-        _, tokens = r.counted.pop(event.attempt, (server, 0.0))
-        if tokens:
-            server.tokens -= tokens
-            if status is i.Status.READ:
-                rate = max(r.ask.prompt_tokens - event.note, 1) / max(event.latency_us, 1) * 1e6
-                self.read_rate += SMOOTH * (rate - self.read_rate)
-        else:
-            server.streams -= 1
-            server.held -= r.ask.prompt_tokens
+        read = self._uncount(r, event.attempt)
         if event.closed:
             return self._end(r, None)
-        if tokens:
+        if read:
             if status is i.Status.READ:
-                r.has_state, r.pinned_us = True, self.now
+                self._learn(server.role, event.latency_us)
+                server.kept[r.ask.prefix or ""] = r.ask.prefix_tokens
+                server.kept[r.ask.session or ""] = r.ask.prompt_tokens
+                self.read_tokens += SMOOTH * (r.backlog - self.read_tokens)
+                r.pinned_us = self.now
                 return self._next(r)
             r.avoid.add(event.server)
             self._drop_held(r)
@@ -367,26 +390,35 @@
             return self._start(r)
         return self._next(r)
 
+    def _rescue(self, server: Server) -> None:
+        """A silent server gets a strike; what waits there and may be repeated is taken elsewhere."""
+        self._strike(server)
+        for number, seq in list(server.out):
+            r = self.open.get(number)
+            if r is None or not self.set.cancel or r.attempts + 2 > self.set.max_attempts:
+                continue
+            if self.rescues < 1 or server.role is not i.Role.READ and r.cls.effect is not i.Effect.SAFE:
+                continue  # a writer may have run it: only its own outcome can settle it
+            other = self._reader(r) if server.role is i.Role.READ else self._writer(r)
+            if other is not None and other is not server:
+                self.acts.append(i.Cancel(number, seq))
+                self.rescues -= 1
+                r.avoid.add(server.entry.server)
+
     def _drop_held(self, r: Open) -> None:
         """Let go of every state and place: nothing stays pinned, whatever led here."""
         self._unplace(r)
         self.acts.append(i.Discard(r.ask.request))
-        r.has_state, r.pinned_us = False, 0
+        r.pinned_us = 0
 
     def _end(self, r: Open, why: str | None) -> None:
         """The one exit: answers, releases what is held, forgets."""
-        for seq, server in r.out.items():
-            server.out.pop((r.ask.request, seq), None)
-            _, tokens = r.counted[seq]
-            if tokens:
-                server.tokens -= tokens
-            else:
-                server.streams -= 1
-                server.held -= r.ask.prompt_tokens
+        for seq in list(r.out):
+            r.ran |= not self._uncount(r, seq)
             if self.set.cancel:
                 self.acts.append(i.Cancel(r.ask.request, seq))
         if why is not None:
-            harmless = not r.ran and not any(not r.counted[s][1] for s in r.out) or (
+            harmless = not r.ran or (
                 r.cls.effect is i.Effect.SAFE or (r.cls.effect is i.Effect.KEYED and r.cls.group == "all"))
             wait = self.set.max_retry_after_us if self.set.retry_after else 0
             self.acts.append(i.Refuse(r.ask.request, wait) if harmless else i.Fail(r.ask.request))
@@ -399,18 +431,21 @@
     def _sweep(self) -> None:
         """Look at what waits and at what is overdue."""
         self.sweep_set = False
+        for server in self.servers.values():
+            if self.now >= server.shut_until and self._silent(server):
+                self._rescue(server)
         for r in list(self.open.values()):
             if r.ask.request not in self.open or r.streaming:
                 continue
             if self.now >= r.ask.expires_us - 2 * SWEEP_US and not r.out:
                 self._end(r, "time")
             elif r.ask.request in self.waiting:
-                if r.has_state and self.now - r.pinned_us < self.set.release_us / 2:
+                if r.pinned_us and self.now - r.pinned_us < self.set.release_us / 2:
                     del self.waiting[r.ask.request]
                     self._next(r)
-                elif self.now - r.came_us > r.aim_us:
+                elif self.now - r.waits_us > WAIT_AIM_PART * r.aim_us:
                     self._end(r, "late")
                 else:
-                    if r.has_state:
+                    if r.pinned_us:
                         self._drop_held(r)
                     self._start(r)
