Wait once every reader is past the bound, not twice the bound

A read that would end late is work for nothing. It should catch any slowness of readers; it could harm where reads are few and long, so an idle reader is never past the bound.

--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -12,7 +12,7 @@
 SWEEP_US = 20_000  # how often waiting requests and silent servers are looked at; far under any release time
 TRIAL_US = 250_000  # a suspect's first pause; doubled for each further failure, as its cause may last
 BUSY_US = 100_000  # a writer that was full gets no new work for about the time of a few tokens
-AIM_PART_READER = 0.25  # part of the aim our tokens may wait at a reader; past it the next, past twice none
+AIM_PART_READER = 0.25  # part of the aim our tokens may wait at a reader; past it at all, none
 SILENT_TIMES = 4.0  # a server is silent once it has given no sign for this many times what is usual
 SILENT_AIM_PART = 0.5  # and for this part of the shortest aim: a short pause is no symptom
 RESCUE_PART = 0.1  # rescues a send has earned: a shared slowness must not multiply the work
@@ -209,7 +209,7 @@
         near = [s for s in order if s.entry.cell in cells] or order
         if near[0].tokens + self._new(r, near[0]) > bound:
             near.sort(key=lambda s: s.tokens + self._new(r, s))
-        return near[0] if not near[0].tokens or near[0].tokens + self._new(r, near[0]) <= 2 * bound else None
+        return near[0] if not near[0].tokens or near[0].tokens + self._new(r, near[0]) <= bound else None
 
     # --- writer choice
 
