Pass over cells whose writers all carry 1.5 times our mean load

Popular prefixes crowd one cell's writer past the wanted pace. It should also catch a cell that lost writers or has cold ones. It may harm where readers' kept texts matter more than pace. Load counts what a writer can do now.

--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -19,6 +19,7 @@
 RESCUES_MOST = 8.0  # saved up for the moment when a server falls silent with its work
 WAIT_AIM_PART = 0.2  # part of the aim that may be spent waiting before the read; the rest is for the work
 COLD_MARGIN = 0.6  # part of the cold budget that is used: peers may carry more than their even part
+CROWD_TIMES = 1.5  # a cell is passed over when each writer there has so many times our mean streams
 MEMORY_PART = 0.9  # part of a writer's memory that counts as room; answers grow after they start
 SMOOTH = 0.1  # weight of a new observation in every running mean
 SWEEP_TOKEN = 1 << 40  # timer token of the sweep; request ids are under 2^32
@@ -205,7 +206,9 @@
         if not order:
             return None
         bound = AIM_PART_READER * r.aim_us * self._read_rate()
-        cells = {w.entry.cell for w in self._writers(r)}
+        writers = self._writers(r)
+        even = CROWD_TIMES * sum(map(self._load, writers)) / max(len(writers), 1)
+        cells = {w.entry.cell for w in writers if self._load(w) <= even}
         near = [s for s in order if s.entry.cell in cells] or order
         if near[0].tokens + self._new(r, near[0]) > bound:
             near.sort(key=lambda s: s.tokens + self._new(r, s))
@@ -226,9 +229,10 @@
         """
         free = self._writers(r)
         near = [s for s in free if r.reader is not None and s.entry.cell == r.reader.entry.cell] or free
-        loads = [((s.streams + 1) / max(s.entry.units, 1e-9) / self._warmth(s), self.random.random(), s)
-                 for s in near]
-        return min(loads, key=lambda load: load[:2])[2] if loads else None
+        return min(near, key=lambda s: (self._load(s), self.random.random())) if near else None
+
+    def _load(self, server: Server) -> float:
+        return (server.streams + 1) / max(server.entry.units, 1e-9) / self._warmth(server)
 
     def _may_run(self, r: Open, server: Server) -> bool:
         """Whether an attempt that may take effect can go to this server."""
