--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -59,8 +59,7 @@
     place: Server | None = None  # writer where a place is asked or held
     streaming: bool = False
     pinned_us: int = 0  # since when a state or place is held with no attempt out; 0 when none
-    ran: bool = False  # an attempt may have run
-    ran_us: int = 0
+    ran_us: int = 0  # when the first attempt that may have run was sent; 0 when none was
     ran_on: Server | None = None
     avoid: set[int] = field(default_factory=set)
     reads: dict[int, float] = field(default_factory=dict)  # attempts that read: tokens counted at the reader
@@ -133,8 +132,9 @@
         server.strikes += 1
         server.shut_until = self.now + TRIAL_US * (1 << min(server.strikes - 1, 3))
 
-    def _learn(self, role: i.Role, latency_us: float) -> None:
-        self.usual[role] += SMOOTH * (latency_us - self.usual[role])
+    def _learn(self, server: Server, latency_us: float) -> None:  # any sign shows that the server lives
+        server.sign_us, server.strikes = self.now, 0
+        self.usual[server.role] += SMOOTH * (latency_us - self.usual[server.role])
 
     def _silent(self, server: Server) -> bool:
         """Whether nothing has come from a server for far longer than its work explains.
@@ -151,9 +151,6 @@
             allowed += 2 * self._new(self.open[number], server) / max(self._read_rate(), 1e-9)
         return self.now - max(sent, server.sign_us) > allowed
 
-    def _sign(self, server: Server) -> None:  # any answer shows that the server lives
-        server.sign_us, server.strikes = self.now, 0
-
     def _warmth(self, server: Server) -> float:
         """What part of its capacity a server has surely regained; its ramp is not told: take a line."""
         age = self.now - server.entry.up_since_us
@@ -208,7 +205,8 @@
         bound = AIM_PART_READER * r.aim_us * self._read_rate()
         writers = self._writers(r)
         even = CROWD_TIMES * sum(map(self._load, writers)) / max(len(writers), 1)
-        cells = {w.entry.cell for w in writers if self._load(w) <= even}
+        half = MEMORY_PART / self.set.instances / 2  # few streams are no crowd, however uneven
+        cells = {w.entry.cell for w in writers if self._load(w) <= even or w.held < half * w.memory}
         near = [s for s in order if s.entry.cell in cells] or order
         if near[0].tokens + self._new(r, near[0]) > bound:
             near.sort(key=lambda s: s.tokens + self._new(r, s))
@@ -236,7 +234,7 @@
 
     def _may_run(self, r: Open, server: Server) -> bool:
         """Whether an attempt that may take effect can go to this server."""
-        if not r.ran or r.cls.effect is i.Effect.SAFE or server.role is i.Role.READ:
+        if not r.ran_us or r.cls.effect is i.Effect.SAFE or server.role is i.Role.READ:
             return True
         if r.cls.effect is i.Effect.UNSAFE or r.ran_on is None or self.now >= r.ran_us + r.cls.window_us:
             return False
@@ -348,16 +346,15 @@
                 self._unplace(r)
         elif event.attempt in r.out:
             server = r.out[event.attempt]
-            self._sign(server)
             server.out.pop((event.request, event.attempt), None)
-            self._learn(server.role, event.latency_us)
+            self._learn(server, event.latency_us)
             r.streaming, r.pinned_us = True, 0
 
     def _outcome(self, event: i.Outcome) -> None:
         server, r = self.servers[event.server], self.open.get(event.request)
         status = event.status
         if status in (i.Status.READ, i.Status.SERVED):
-            self._sign(server)
+            server.sign_us, server.strikes = self.now, 0
         elif status is i.Status.FULL and event.note == 0:
             server.sign_us, server.shut_until = self.now, max(server.shut_until, self.now + BUSY_US)
         elif status in (i.Status.CONNECT_FAILED, i.Status.RESET):
@@ -371,7 +368,7 @@
             return self._end(r, None)
         if read:
             if status is i.Status.READ:
-                self._learn(server.role, event.latency_us)
+                self._learn(server, event.latency_us)
                 server.kept[r.ask.prefix or ""] = r.ask.prefix_tokens
                 server.kept[r.ask.session or ""] = r.ask.prompt_tokens
                 self.read_tokens += SMOOTH * (r.backlog - self.read_tokens)
@@ -382,8 +379,8 @@
             return self._start(r)
         proven = status in (i.Status.CONNECT_FAILED, i.Status.FULL, i.Status.MOOT)
         if not proven:
-            if not r.ran:
-                r.ran, r.ran_us, r.ran_on = True, self.now - event.latency_us, server
+            if not r.ran_us:
+                r.ran_us, r.ran_on = self.now - event.latency_us, server
             if r.cls.effect is i.Effect.UNSAFE:
                 return self._end(r, "fail")
         r.pinned_us = self.now
@@ -418,11 +415,11 @@
     def _end(self, r: Open, why: str | None) -> None:
         """The one exit: answers, releases what is held, forgets."""
         for seq in list(r.out):
-            r.ran |= not self._uncount(r, seq)
+            r.ran_us = r.ran_us or (0 if self._uncount(r, seq) else self.now)
             if self.set.cancel:
                 self.acts.append(i.Cancel(r.ask.request, seq))
         if why is not None:
-            harmless = not r.ran or (
+            harmless = not r.ran_us or (
                 r.cls.effect is i.Effect.SAFE or (r.cls.effect is i.Effect.KEYED and r.cls.group == "all"))
             wait = self.set.max_retry_after_us if self.set.retry_after else 0
             self.acts.append(i.Refuse(r.ask.request, wait) if harmless else i.Fail(r.ask.request))
