--- /dev/null
+++ b/tests/test_choices.py
@@ -0,0 +1,216 @@
+"""Each choice of the module, and each failure that was found, without the bench."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.ledger import settings
+from yardspindle import Policy
+from yardspindle import interface as i
+
+MS = 1_000
+LIFE = 3_000 * MS
+
+
+class Router:
+    """A policy with a fleet and a clock."""
+
+    def __init__(self, spec: str, cells: str = "", **other: object) -> None:
+        self.policy = Policy(settings(**({"instances": 1} | other)), 1)
+        self.now, self.next = 1_000 * MS, 0
+        self.entries = [
+            i.Entry(at + 1, "a", kind, int(cells[at]) if cells else 0, i.State.SERVING, 1.0)
+            for at, kind in enumerate(spec)]
+        self.feed(i.Members(i.ListKind.COMPLETE, 1, tuple(self.entries)))
+
+    def feed(self, event: i.Event) -> list[i.Action]:
+        return self.policy.handle(self.now, event)
+
+    def ask(self, cls: str = "safe", prompt: float = 500.0, prefix: str | None = "p", session: str = "s",
+            life_us: int = LIFE) -> list[i.Action]:
+        self.next += 1
+        return self.feed(i.Request(self.next, cls, self.now + life_us, prompt, prefix=prefix,
+                                   session=session))
+
+    def home(self, **other: str | None) -> int:
+        """Where a request is read while nothing else is open."""
+        server = sends(self.ask(**other))[0]  # type: ignore[arg-type]
+        self.feed(i.Hangup(self.next))
+        return server
+
+    def end(self, number: int, attempt: int, server: int, status: i.Status, note: int = 0,
+            closed: bool = False) -> list[i.Action]:
+        return self.feed(i.Outcome(number, attempt, server, status, 50 * MS, closed, note))
+
+    def change(self, server: int, state: i.State, since: int = 0) -> None:
+        was = self.entries[server - 1]
+        self.feed(i.Members(i.ListKind.CHANGES, 2, (
+            i.Entry(server, was.zone, was.kind, was.cell, state, 1.0, since),)))
+
+    def sweep(self, to_ms: int) -> list[i.Action]:
+        acts: list[i.Action] = []
+        until = self.now + to_ms * MS
+        while self.now < until:
+            self.now += 20 * MS
+            acts += self.feed(i.Timer(1 << 40))
+        return acts
+
+
+def sends(acts: list[i.Action]) -> list[int]:
+    return [a.server for a in acts if isinstance(a, i.Send)]
+
+
+def places(acts: list[i.Action]) -> list[int]:
+    return [a.server for a in acts if isinstance(a, i.Ahead)]
+
+
+def test_ordinary_path() -> None:
+    router = Router("rrww", "0101")
+    acts = router.ask()
+    reader = sends(acts)[0]
+    assert places(acts) == [3 if reader == 1 else 4]
+    assert sends(router.end(1, 0, reader, i.Status.READ)) == places(acts)
+
+
+def test_reader_is_the_same_at_every_router() -> None:
+    one, two = Router("rrrrww"), Router("rrrrww", me=1, instances=2)
+    for prefix in "abcdefgh":
+        assert one.home(prefix=prefix) == two.home(prefix=prefix)
+
+
+def test_session_decides_where_there_is_no_prefix() -> None:
+    router = Router("rrrrww")
+    assert len({router.home(prefix=None, session=f"s{n}") for n in range(20)}) > 1
+
+
+def test_place_not_held_goes_to_fewest_streams() -> None:
+    router = Router("rww")
+    place = places(router.ask())[0]
+    router.feed(i.Note(1, 0, place, False))
+    assert sends(router.end(1, 0, 1, i.Status.READ))[0] in (2, 3)
+
+
+def test_other_cell_when_the_cell_has_no_writer() -> None:
+    router = Router("rw", "01")
+    assert places(router.ask()) == [2]
+
+
+def test_home_without_writer_is_passed_over() -> None:
+    """Reads in a cell without writers sent every state over the rack's slow link."""
+    router = Router("rrrw", "0120")
+    assert {router.home(prefix=f"p{n}") for n in range(10)} == {1}
+
+
+def test_drained_server_gets_neither_send_nor_place_even_if_held() -> None:
+    router = Router("rww")
+    place = places(router.ask())[0]
+    router.feed(i.Note(1, 0, place, True))
+    router.change(place, i.State.DRAINING)
+    assert sends(router.end(1, 0, 1, i.Status.READ)) == [5 - place]
+
+
+def test_mixed_server_takes_its_share_whole() -> None:
+    router = Router("m")
+    acts = router.ask()
+    assert sends(acts) == [1] and not places(acts)
+
+
+def test_unsafe_fails_after_an_ambiguous_end_and_is_tried_again_after_a_proven_one() -> None:
+    router = Router("rww")
+    first = places(router.ask("once"))[0]
+    router.end(1, 0, 1, i.Status.READ)
+    assert sends(router.end(1, 1, first, i.Status.CONNECT_FAILED)) == [5 - first]
+    acts = router.end(1, 2, 5 - first, i.Status.RESET)
+    assert i.Fail(1) in acts and i.Discard(1) in acts and not sends(acts)
+
+
+def test_state_gone_is_read_again() -> None:
+    router = Router("rw")
+    router.ask("once")
+    router.end(1, 0, 1, i.Status.READ)
+    assert sends(router.end(1, 1, 2, i.Status.FULL, note=1)) == [1]
+
+
+def test_lost_reader_is_replaced_and_what_is_held_let_go() -> None:
+    router = Router("rrw")
+    reader = sends(router.ask())[0]
+    acts = router.end(1, 0, reader, i.Status.RESET)
+    assert i.Discard(1) in acts and sends(acts) == [3 - reader]
+
+
+def test_a_read_that_ends_after_its_request_is_let_go() -> None:
+    """Found by the ledger: the state stayed pinned."""
+    router = Router("rw")
+    router.ask()
+    router.feed(i.Hangup(1))
+    assert router.end(1, 0, 1, i.Status.READ, closed=True) == [i.Discard(1)]
+
+
+def test_short_life_without_servers_is_refused_at_once_with_advice() -> None:
+    """Found by the ledger: a life shorter than a sweep got no answer."""
+    router = Router("w")
+    acts = router.ask(life_us=10 * MS)
+    assert [a for a in acts if isinstance(a, i.Refuse)] == [i.Refuse(1, 500_000)]
+
+
+def test_waiting_is_bounded() -> None:
+    router = Router("r")
+    router.ask()
+    acts = router.sweep(400)
+    assert any(isinstance(a, i.Refuse) for a in acts)
+
+
+def test_silent_reader_is_left_and_its_read_taken_elsewhere() -> None:
+    """Hung readers took work and answered none; each request there was lost."""
+    router = Router("rrw")
+    reader = sends(router.ask())[0]
+    acts = router.sweep(1_500)
+    assert i.Cancel(1, 0) in acts
+    assert sends(router.end(1, 0, reader, i.Status.CANCELLED)) == [3 - reader]
+    router.end(1, 1, 3 - reader, i.Status.READ)
+    assert sends(router.ask()) == [3 - reader]
+
+
+def test_all_silent_ejects_none() -> None:
+    router = Router("rrw")
+    router.ask()
+    router.ask(prefix="other")
+    router.sweep(2_000)
+    for number in (1, 2):
+        router.end(number, 0, 1, i.Status.TIMEOUT)
+    assert sends(router.ask(prefix="third"))
+
+
+def test_rescues_are_capped() -> None:
+    """A shared slowness must not multiply the work of servers that stop for no cancel."""
+    router = Router("rrw")
+    for _ in range(40):
+        router.ask(prompt=1.0)
+    cancelled = [a for a in router.sweep(1_400) if isinstance(a, i.Cancel)]
+    assert len(cancelled) <= 12
+
+
+def test_cold_writer_gets_its_part_and_no_more() -> None:
+    router = Router("rww")
+    router.change(2, i.State.SERVING, since=router.now)
+    for _ in range(12):
+        router.ask()
+        router.end(router.next, 0, 1, i.Status.READ)
+    cold = router.policy.servers[2]
+    assert len(cold.sends) <= 3 < len(router.policy.servers[3].sends)
+
+
+def test_restart_voids_strikes() -> None:
+    router = Router("rw")
+    router.ask()
+    router.end(1, 0, 1, i.Status.RESET)
+    router.change(1, i.State.SERVING, since=router.now)
+    assert router.policy.servers[1].strikes == 0
+
+
+@pytest.mark.parametrize(("field", "value"), [
+    ("me", 5), ("instances", 0), ("start_capacity", 0.0), ("classes", ()), ("kinds", ()), ("release_us", 0),
+    ("max_attempts", 0)])
+def test_invalid_settings_name_the_field(field: str, value: object) -> None:
+    with pytest.raises(ValueError, match=field):
+        settings(**{field: value})
--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -22,6 +22,7 @@
 CROWD_TIMES = 1.5  # a cell is passed over when each writer there has so many times our mean streams
 MEMORY_PART = 0.9  # part of a writer's memory that counts as room; answers grow after they start
 SMOOTH = 0.1  # weight of a new observation in every running mean
+LOG_US = 5_000_000  # at most one line on requests given up in so long
 SWEEP_TOKEN = 1 << 40  # timer token of the sweep; request ids are under 2^32
 
 
@@ -76,11 +77,11 @@
         self.classes = {cls.name: cls for cls in settings.classes}
         self.servers: dict[int, Server] = {}
         self.open: dict[int, Open] = {}
-        self.waiting: dict[int, Open] = {}
         self.usual = {role: 0.0 for role in i.Role}  # running mean time of a sign: end of a read, first token
         self.read_tokens = 0.0  # running mean of our tokens ahead of a read and its own
         self.carried = {role: 0.0 for role in i.Role}  # own sends in a cold span at a warm server
         self.least_aim = min(cls.aim_us for cls in settings.classes)
+        self.log_us = 0
         self.rescues = RESCUES_MOST
         self.sweep_set = False
         self.acts: list[i.Action] = []
@@ -114,12 +115,11 @@
         named = set()
         for entry in event.entries:
             named.add(entry.server)
-            known, kind = self.servers.get(entry.server), self.kinds.get(entry.kind)
+            kind = self.kinds.get(entry.kind)
             if kind is None:
                 continue
-            if known is None:
-                known = self.servers[entry.server] = Server(entry, kind.role, kind.memory_tokens)
-            elif entry.up_since_us > known.entry.up_since_us:  # restarted: what we held against it is void
+            known = self.servers.setdefault(entry.server, Server(entry, kind.role, kind.memory_tokens))
+            if entry.up_since_us > known.entry.up_since_us:  # restarted: what we held against it is void
                 known.strikes, known.shut_until = 0, 0
                 known.sends.clear()
                 known.kept.clear()
@@ -128,8 +128,10 @@
             for number, server in self.servers.items():
                 server.gone = server.gone or number not in named
 
-    def _strike(self, server: Server) -> None:  # pause it, then let single trials through
+    def _strike(self, server: Server, why: str) -> None:  # pause it, then let single trials through
         server.strikes += 1
+        if server.strikes == 1:
+            self.acts.append(i.Log(f"set aside {server.entry.server}: {why}"))
         server.shut_until = self.now + TRIAL_US * (1 << min(server.strikes - 1, 3))
 
     def _learn(self, server: Server, latency_us: float) -> None:  # any sign shows that the server lives
@@ -147,8 +149,8 @@
         (number, _), sent = next(iter(server.out.items()))
         least, most = SILENT_AIM_PART * self.least_aim, 2 * SILENT_AIM_PART * self.least_aim
         allowed = min(max(SILENT_TIMES * self.usual[server.role], least), most)
-        if server.role is i.Role.READ and number in self.open:  # a long prompt is no silence
-            allowed += 2 * self._new(self.open[number], server) / max(self._read_rate(), 1e-9)
+        if self.read_tokens and server.role is i.Role.READ and number in self.open:  # long is not silent
+            allowed += 2 * self._new(self.open[number], server) / self._read_rate()
         return self.now - max(sent, server.sign_us) > allowed
 
     def _warmth(self, server: Server) -> float:
@@ -164,8 +166,8 @@
         if warmth >= 1:
             return True
         spent = sum(1 for at in server.sends if at > self.now - self.set.fall_us)
-        return spent + 1 <= max(
-            1.0, COLD_MARGIN * self.set.fall_multiple * warmth * self.carried[server.role])
+        part = COLD_MARGIN * self.set.fall_multiple * warmth * self.carried[server.role]
+        return spent + 1 <= max(1.0, part)
 
     def _usable(self, server: Server, r: Open) -> bool:
         """Serving, not shut, within the cold budget, and if suspect with no trial out."""
@@ -267,7 +269,6 @@
 
     def _start(self, r: Open) -> None:
         """Begin to read: the reader of the prefix hash, and with the read a place at its cell's writer."""
-        self.waiting.pop(r.ask.request, None)
         r.reader = None
         if r.attempts + 2 > self.set.max_attempts or self.now >= r.ask.expires_us - self.set.tick_us:
             return self._end(r, "time")
@@ -333,7 +334,6 @@
     def _wait(self, r: Open) -> None:
         """Every writer is full, or no reader is there: wait before the read, for a bounded time."""
         r.waits_us = r.waits_us or self.now
-        self.waiting[r.ask.request] = r
         if self.now >= r.ask.expires_us - 2 * SWEEP_US:
             self._end(r, "time")
 
@@ -358,7 +358,7 @@
         elif status is i.Status.FULL and event.note == 0:
             server.sign_us, server.shut_until = self.now, max(server.shut_until, self.now + BUSY_US)
         elif status in (i.Status.CONNECT_FAILED, i.Status.RESET):
-            self._strike(server)
+            self._strike(server, status.value)
         if r is None:
             if status is i.Status.READ:  # read for a request that has ended: nothing may stay pinned
                 self.acts.append(i.Discard(event.request))
@@ -393,7 +393,7 @@
 
     def _rescue(self, server: Server) -> None:
         """A silent server gets a strike; what waits there and may be repeated is taken elsewhere."""
-        self._strike(server)
+        self._strike(server, "silent")
         for number, seq in list(server.out):
             r = self.open.get(number)
             if r is None or not self.set.cancel or r.attempts + 2 > self.set.max_attempts:
@@ -419,12 +419,14 @@
             if self.set.cancel:
                 self.acts.append(i.Cancel(r.ask.request, seq))
         if why is not None:
+            if self.now >= self.log_us:
+                self.log_us = self.now + LOG_US
+                self.acts.append(i.Log(f"giving up requests: {why}"))
             harmless = not r.ran_us or (
                 r.cls.effect is i.Effect.SAFE or (r.cls.effect is i.Effect.KEYED and r.cls.group == "all"))
             wait = self.set.max_retry_after_us if self.set.retry_after else 0
             self.acts.append(i.Refuse(r.ask.request, wait) if harmless else i.Fail(r.ask.request))
         self._drop_held(r)
-        self.waiting.pop(r.ask.request, None)
         self.open.pop(r.ask.request, None)
 
     # --- admission
@@ -436,13 +438,10 @@
             if self.now >= server.shut_until and self._silent(server):
                 self._rescue(server)
         for r in list(self.open.values()):
-            if r.ask.request not in self.open or r.streaming:
-                continue
-            if self.now >= r.ask.expires_us - 2 * SWEEP_US and not r.out:
-                self._end(r, "time")
-            elif r.ask.request in self.waiting:
-                if r.pinned_us and self.now - r.pinned_us < self.set.release_us / 2:
-                    del self.waiting[r.ask.request]
+            if not r.out and r.ask.request in self.open:  # it waits
+                if self.now >= r.ask.expires_us - 2 * SWEEP_US:
+                    self._end(r, "time")
+                elif r.pinned_us and self.now - r.pinned_us < self.set.release_us / 2:
                     self._next(r)
                 elif self.now - r.waits_us > WAIT_AIM_PART * r.aim_us:
                     self._end(r, "late")
