--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -200,6 +200,30 @@
     assert len(cold.sends) <= 3 < len(router.policy.servers[3].sends)
 
 
+def test_dead_servers_are_not_hammered_though_all_are_dead() -> None:
+    """Incident i39931b: every writer refused connections and each request knocked at all of them."""
+    router = Router("rww")
+    for _ in range(6):
+        acts = router.ask()
+        while sends(acts):
+            server = sends(acts)[0]
+            attempt = router.policy.open[router.next].attempts - 1
+            status = i.Status.READ if server == 1 else i.Status.CONNECT_FAILED
+            acts = router.end(router.next, attempt, server, status)
+    assert sum(len(router.policy.servers[n].sends) for n in (2, 3)) == 2
+
+
+def test_sends_to_the_dead_do_not_raise_the_cold_budget() -> None:
+    """Incident i39931b: the budget of the restarted writers was taken from knocks at dead ones."""
+    router = Router("rw")
+    for _ in range(30):
+        if sends(router.ask(life_us=200 * MS)) and sends(router.end(router.next, 0, 1, i.Status.READ)):
+            router.end(router.next, 1, 2, i.Status.CONNECT_FAILED)
+        router.sweep(200)
+    assert router.policy.servers[2].strikes > 1
+    assert router.policy.carried[i.Role.WRITE] == 0
+
+
 def test_restart_voids_strikes() -> None:
     router = Router("rw")
     router.ask()
--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -40,6 +40,7 @@
     streams: int = 0  # own answers and places at the writer
     strikes: int = 0
     shut_until: int = 0
+    down: bool = False  # the last strike was a broken or failed connection: it is no sharer of a slowness
     sign_us: int = 0  # when it last answered anything of ours
     sends: deque[int] = field(default_factory=deque)  # sends in the span of the cold rule
     kept: dict[str, float] = field(default_factory=dict)  # texts it has read for us: tokens
@@ -71,8 +72,7 @@
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
         """Start with nothing but the settings."""
-        self.set, self.now = settings, 0
-        self.random = random.Random(seed)
+        self.set, self.now, self.random = settings, 0, random.Random(seed)
         self.kinds = {kind.name: kind for kind in settings.kinds}
         self.classes = {cls.name: cls for cls in settings.classes}
         self.servers: dict[int, Server] = {}
@@ -81,8 +81,7 @@
         self.read_tokens = 0.0  # running mean of our tokens ahead of a read and its own
         self.carried = {role: 0.0 for role in i.Role}  # own sends in a cold span at a warm server
         self.least_aim = min(cls.aim_us for cls in settings.classes)
-        self.log_us = 0
-        self.rescues = RESCUES_MOST
+        self.rescues, self.log_us = RESCUES_MOST, 0
         self.sweep_set = False
         self.acts: list[i.Action] = []
 
@@ -120,7 +119,7 @@
                 continue
             known = self.servers.setdefault(entry.server, Server(entry, kind.role, kind.memory_tokens))
             if entry.up_since_us > known.entry.up_since_us:  # restarted: what we held against it is void
-                known.strikes, known.shut_until = 0, 0
+                known.strikes, known.shut_until, known.down = 0, 0, False
                 known.sends.clear()
                 known.kept.clear()
             known.entry, known.gone = entry, entry.state is not i.State.SERVING
@@ -135,7 +134,10 @@
         server.shut_until = self.now + TRIAL_US * (1 << min(server.strikes - 1, 3))
 
     def _learn(self, server: Server, latency_us: float) -> None:  # any sign shows that the server lives
-        server.sign_us, server.strikes = self.now, 0
+        server.sign_us, server.strikes, server.down = self.now, 0, False
+        if self._warmth(server) >= 1:  # counted when answered: sends to the dead are nothing a server carries
+            sent = sum(1 for at in server.sends if at > self.now - self.set.fall_us)
+            self.carried[server.role] += SMOOTH * (sent - self.carried[server.role])
         self.usual[server.role] += SMOOTH * (latency_us - self.usual[server.role])
 
     def _silent(self, server: Server) -> bool:
@@ -183,7 +185,7 @@
         known = [s for s in self.servers.values() if s.role in roles and not s.gone]
         good = [s for s in known if self._usable(s, r)]
         if not good and 2 * sum(1 for s in known if s.strikes) > len(known):
-            good = [s for s in known if self._budget(s) and self._fits(s, r)]
+            good = [s for s in known if not s.down and self._budget(s) and self._fits(s, r)]
         return good
 
     # --- reader choice
@@ -262,8 +264,6 @@
         while server.sends and server.sends[0] <= self.now - self.set.fall_us:
             server.sends.popleft()
         server.sends.append(self.now)
-        if self._warmth(server) >= 1:
-            self.carried[server.role] += SMOOTH * (len(server.sends) - self.carried[server.role])
         self.rescues = min(self.rescues + RESCUE_PART, RESCUES_MOST)
         self.acts.append(i.Send(r.ask.request, server.entry.server))
 
@@ -359,6 +359,7 @@
             server.sign_us, server.shut_until = self.now, max(server.shut_until, self.now + BUSY_US)
         elif status in (i.Status.CONNECT_FAILED, i.Status.RESET):
             self._strike(server, status.value)
+            server.down = True
         if r is None:
             if status is i.Status.READ:  # read for a request that has ended: nothing may stay pinned
                 self.acts.append(i.Discard(event.request))
