--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -224,6 +224,24 @@
     assert router.policy.carried[i.Role.WRITE] == 0
 
 
+def test_over_share_is_refused_first_and_only_while_others_wait() -> None:
+    """Traffic beyond a share is worth little: it must not cost the others their aim."""
+    tenants = (i.Tenant("big", 0.5, 2.0), i.Tenant("small", 0.5, 2.0))
+    router = Router("rww", tenants=tenants, over_share_worth=0.1)
+
+    def burst(tenant: str, count: int) -> int:
+        refused = 0
+        for _ in range(count):
+            router.next += 1
+            acts = router.feed(i.Request(router.next, "safe", router.now + LIFE, 500.0, tenant=tenant))
+            refused += any(isinstance(a, i.Refuse) for a in acts)
+        return refused
+
+    assert burst("big", 1) == 0  # nothing waits
+    assert burst("big", 40) > 10  # the one reader has its first read still out: the others wait
+    assert burst("small", 2) == 0
+
+
 def test_restart_voids_strikes() -> None:
     router = Router("rw")
     router.ask()
--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -14,15 +14,18 @@
 BUSY_US = 100_000  # a writer that was full gets no new work for about the time of a few tokens
 AIM_PART_READER = 0.25  # part of the aim our tokens may wait at a reader; past it at all, none
 SILENT_TIMES = 4.0  # a server is silent once it has given no sign for this many times what is usual
-SILENT_AIM_PART = 0.5  # and for this part of the shortest aim: a short pause is no symptom
+SILENT_AIM_PART = 0.5  # and for this part of the shortest aim (at most twice it): a short pause is no symptom
 RESCUE_PART = 0.1  # rescues a send has earned: a shared slowness must not multiply the work
 RESCUES_MOST = 8.0  # saved up for the moment when a server falls silent with its work
 WAIT_AIM_PART = 0.2  # part of the aim that may be spent waiting before the read; the rest is for the work
 COLD_MARGIN = 0.6  # part of the cold budget that is used: peers may carry more than their even part
 CROWD_TIMES = 1.5  # a cell is passed over when each writer there has so many times our mean streams
 MEMORY_PART = 0.9  # part of a writer's memory that counts as room; answers grow after they start
+KEPT_MOST = 10_000  # texts remembered a reader: memory of ours has to end somewhere
 SMOOTH = 0.1  # weight of a new observation in every running mean
 LOG_US = 5_000_000  # at most one line on requests given up in so long
+SHARE_SPAN_S = 4.0  # a tenant may save up its share for so long: bursts are no excess
+SHORT_AIMS = 2.0  # room is short for so many aims after a request had to wait
 SWEEP_TOKEN = 1 << 40  # timer token of the sweep; request ids are under 2^32
 
 
@@ -81,6 +84,10 @@
         self.read_tokens = 0.0  # running mean of our tokens ahead of a read and its own
         self.carried = {role: 0.0 for role in i.Role}  # own sends in a cold span at a warm server
         self.least_aim = min(cls.aim_us for cls in settings.classes)
+        self.short_us = -(1 << 60)  # when a request last had to wait
+        self.seen, self.seen_us = 0.0, 0  # requests a second that come here
+        self.quotas = {t.name: t.quota_per_s for t in settings.tenants if settings.over_share_worth < 1}
+        self.left: dict[str, tuple[float, int]] = {}  # what a tenant may still send, since when
         self.rescues, self.log_us = RESCUES_MOST, 0
         self.sweep_set = False
         self.acts: list[i.Action] = []
@@ -99,8 +106,6 @@
                 self._heard(self.open[event.request], event)
             case i.Timer():
                 self._sweep()
-            case _:
-                pass
         if not self.sweep_set and self.open:
             self.sweep_set = True
             self.acts.append(i.SetTimer(now_us + SWEEP_US, SWEEP_TOKEN))
@@ -111,12 +116,8 @@
     def _members(self, event: i.Members) -> None:
         if event.list_kind is i.ListKind.FAILED:
             return
-        named = set()
-        for entry in event.entries:
-            named.add(entry.server)
-            kind = self.kinds.get(entry.kind)
-            if kind is None:
-                continue
+        named = {entry.server for entry in event.entries}
+        for entry, kind in ((e, self.kinds[e.kind]) for e in event.entries if e.kind in self.kinds):
             known = self.servers.setdefault(entry.server, Server(entry, kind.role, kind.memory_tokens))
             if entry.up_since_us > known.entry.up_since_us:  # restarted: what we held against it is void
                 known.strikes, known.shut_until, known.down = 0, 0, False
@@ -136,25 +137,26 @@
     def _learn(self, server: Server, latency_us: float) -> None:  # any sign shows that the server lives
         server.sign_us, server.strikes, server.down = self.now, 0, False
         if self._warmth(server) >= 1:  # counted when answered: sends to the dead are nothing a server carries
-            sent = sum(1 for at in server.sends if at > self.now - self.set.fall_us)
-            self.carried[server.role] += SMOOTH * (sent - self.carried[server.role])
+            self.carried[server.role] += SMOOTH * (self._spent(server) - self.carried[server.role])
         self.usual[server.role] += SMOOTH * (latency_us - self.usual[server.role])
 
     def _silent(self, server: Server) -> bool:
-        """Whether nothing has come from a server for far longer than its work explains.
-
-        It catches hangs, cut links, stalls and pauses alike. It would harm if all were slow together, so what
-        is usual follows what is seen, and `_pool` ejects none when most look bad.
-        """
+        """Whether nothing has come for far longer than the work explains: hung, cut off, stalled."""
+        # Harmful if all were slow together: `_pool` ejects none when most look bad, and rescues are few.
         if not server.out:
             return False
         (number, _), sent = next(iter(server.out.items()))
-        least, most = SILENT_AIM_PART * self.least_aim, 2 * SILENT_AIM_PART * self.least_aim
-        allowed = min(max(SILENT_TIMES * self.usual[server.role], least), most)
-        if self.read_tokens and server.role is i.Role.READ and number in self.open:  # long is not silent
+        least = SILENT_AIM_PART * self.least_aim
+        allowed = min(max(SILENT_TIMES * self.usual[server.role], least), 2 * least)
+        if self.read_tokens and server.role is i.Role.READ:  # a long read is not silence
             allowed += 2 * self._new(self.open[number], server) / self._read_rate()
         return self.now - max(sent, server.sign_us) > allowed
 
+    def _spent(self, server: Server) -> int:  # own sends in the span of the cold rule
+        while server.sends and server.sends[0] <= self.now - self.set.fall_us:
+            server.sends.popleft()
+        return len(server.sends)
+
     def _warmth(self, server: Server) -> float:
         """What part of its capacity a server has surely regained; its ramp is not told: take a line."""
         age = self.now - server.entry.up_since_us
@@ -164,28 +166,23 @@
 
     def _budget(self, server: Server) -> bool:
         """Whether a cold server can be sent one more without our part of the fall-over budget being spent."""
-        warmth = self._warmth(server)
-        if warmth >= 1:
-            return True
-        spent = sum(1 for at in server.sends if at > self.now - self.set.fall_us)
-        part = COLD_MARGIN * self.set.fall_multiple * warmth * self.carried[server.role]
-        return spent + 1 <= max(1.0, part)
+        part = COLD_MARGIN * self.set.fall_multiple * self._warmth(server) * self.carried[server.role]
+        return self._warmth(server) >= 1 or self._spent(server) + 1 <= max(1.0, part)
 
     def _usable(self, server: Server, r: Open) -> bool:
         """Serving, not shut, within the cold budget, and if suspect with no trial out."""
-        if server.gone or self.now < server.shut_until or (server.strikes and server.out):
-            return False
-        return self._fits(server, r) and self._budget(server)
+        return (not server.gone and self.now >= server.shut_until and not (server.strikes and server.out)
+                and self._fits(server, r))
 
     def _fits(self, server: Server, r: Open) -> bool:
-        return server.entry.server not in r.avoid and self._may_run(r, server)
+        return server.entry.server not in r.avoid and self._may_run(r, server) and self._budget(server)
 
     def _pool(self, roles: tuple[i.Role, ...], r: Open) -> list[Server]:
         """Servers of a role that may be sent to; when most look bad the cause is shared and none is shut."""
         known = [s for s in self.servers.values() if s.role in roles and not s.gone]
         good = [s for s in known if self._usable(s, r)]
         if not good and 2 * sum(1 for s in known if s.strikes) > len(known):
-            good = [s for s in known if not s.down and self._budget(s) and self._fits(s, r)]
+            good = [s for s in known if not s.down and self._fits(s, r)]
         return good
 
     # --- reader choice
@@ -195,8 +192,7 @@
         kept = max(server.kept.get(r.ask.prefix or "", 0.0), server.kept.get(r.ask.session or "", 0.0))
         return max(r.ask.prompt_tokens - kept, 1.0)
 
-    def _read_rate(self) -> float:
-        """Tokens of ours a microsecond that a reader has got through, whatever else it had to do."""
+    def _read_rate(self) -> float:  # tokens of ours a microsecond, whatever else the reader had to do
         return self.read_tokens / max(self.usual[i.Role.READ], 1.0)
 
     def _reader(self, r: Open) -> Server | None:
@@ -252,17 +248,14 @@
         cls = self.classes[ask.cls]
         aim = cls.aim_us + cls.aim_us_per_1000_prompt_tokens * ask.prompt_tokens / 1000
         r = self.open[ask.request] = Open(ask, cls, aim)
-        self._start(r)
+        short = self.now - self.short_us < SHORT_AIMS * self.least_aim
+        return self._end(r, "share") if self._over_share(ask.tenant or "") and short else self._start(r)
 
     def _send(self, r: Open, server: Server, tokens: float = 0.0) -> None:
         server.out[(r.ask.request, r.attempts)] = self.now
         r.out[r.attempts] = server
-        if tokens:
-            r.reads[r.attempts] = tokens
-        r.attempts += 1
-        r.pinned_us = 0
-        while server.sends and server.sends[0] <= self.now - self.set.fall_us:
-            server.sends.popleft()
+        r.reads[r.attempts] = tokens
+        r.attempts, r.pinned_us = r.attempts + 1, 0
         server.sends.append(self.now)
         self.rescues = min(self.rescues + RESCUE_PART, RESCUES_MOST)
         self.acts.append(i.Send(r.ask.request, server.entry.server))
@@ -287,8 +280,7 @@
         r.backlog = reader.tokens
         self._send(r, reader, new)
         if self.set.ahead:
-            r.place = writer
-            self._take(r, writer)
+            r.place = self._take(r, writer)
             self.acts.append(i.Ahead(r.ask.request, writer.entry.server))
         return None
 
@@ -300,10 +292,11 @@
         r.place = None
         self._send(r, server)
 
-    def _take(self, r: Open, writer: Server, sign: int = 1) -> None:
+    def _take(self, r: Open, writer: Server, sign: int = 1) -> Server:
         """Count (or with -1 no longer count) a stream or place of ours at a writer."""
         writer.streams += sign
         writer.held += sign * r.ask.prompt_tokens
+        return writer
 
     def _unplace(self, r: Open) -> None:
         if r.place is not None:
@@ -334,6 +327,7 @@
     def _wait(self, r: Open) -> None:
         """Every writer is full, or no reader is there: wait before the read, for a bounded time."""
         r.waits_us = r.waits_us or self.now
+        self.short_us = self.now
         if self.now >= r.ask.expires_us - 2 * SWEEP_US:
             self._end(r, "time")
 
@@ -370,39 +364,34 @@
         if read:
             if status is i.Status.READ:
                 self._learn(server, event.latency_us)
-                server.kept[r.ask.prefix or ""] = r.ask.prefix_tokens
-                server.kept[r.ask.session or ""] = r.ask.prompt_tokens
+                if len(server.kept) > KEPT_MOST:
+                    server.kept.clear()
+                ask = r.ask
+                server.kept |= {ask.prefix or "": ask.prefix_tokens, ask.session or "": ask.prompt_tokens}
                 self.read_tokens += SMOOTH * (r.backlog - self.read_tokens)
                 r.pinned_us = self.now
                 return self._next(r)
             r.avoid.add(event.server)
             self._drop_held(r)
             return self._start(r)
-        proven = status in (i.Status.CONNECT_FAILED, i.Status.FULL, i.Status.MOOT)
-        if not proven:
+        if status not in (i.Status.CONNECT_FAILED, i.Status.FULL, i.Status.MOOT):  # it may have run
             if not r.ran_us:
                 r.ran_us, r.ran_on = self.now - event.latency_us, server
             if r.cls.effect is i.Effect.UNSAFE:
                 return self._end(r, "fail")
-        r.pinned_us = self.now
-        r.avoid.add(event.server)
-        if event.note == 1 and status is i.Status.FULL or r.reader is None:
-            r.avoid.discard(event.server)
+        if event.note == 1 and status is i.Status.FULL or r.reader is None:  # no state is left: read again
             self._drop_held(r)
             return self._start(r)
+        r.pinned_us = self.now
+        r.avoid.add(event.server)
         return self._next(r)
 
     def _rescue(self, server: Server) -> None:
-        """A silent server gets a strike; what waits there and may be repeated is taken elsewhere."""
+        """A silent server gets a strike; its reads are taken elsewhere; what a writer may have run is not."""
         self._strike(server, "silent")
-        for number, seq in list(server.out):
-            r = self.open.get(number)
-            if r is None or not self.set.cancel or r.attempts + 2 > self.set.max_attempts:
-                continue
-            if self.rescues < 1 or server.role is not i.Role.READ and r.cls.effect is not i.Effect.SAFE:
-                continue  # a writer may have run it: only its own outcome can settle it
-            other = self._reader(r) if server.role is i.Role.READ else self._writer(r)
-            if other is not None and other is not server:
+        for number, seq in list(server.out) if server.role is i.Role.READ else ():
+            r, able = self.open[number], self.set.cancel and self.rescues >= 1
+            if able and r.attempts + 2 <= self.set.max_attempts and self._reader(r) not in (None, server):
                 self.acts.append(i.Cancel(number, seq))
                 self.rescues -= 1
                 r.avoid.add(server.entry.server)
@@ -432,6 +421,18 @@
 
     # --- admission
 
+    def _over_share(self, tenant: str) -> bool:
+        """Whether a tenant has used up its part of the quota, or of all that comes if more."""
+        past, self.seen_us = (self.now - self.seen_us) / 1e6, self.now
+        self.seen = self.seen * max(1 - past / SHARE_SPAN_S, 0.0) + 1 / SHARE_SPAN_S
+        quota = self.quotas.get(tenant, 0.0)
+        rate = quota * max(1 / self.set.instances, self.seen / max(sum(self.quotas.values()), 1e-9))
+        left, at = self.left.get(tenant, (rate, self.now))
+        left = min(left + rate * (self.now - at) / 1e6, rate * SHARE_SPAN_S)
+        over = quota > 0 and left < 1
+        self.left[tenant] = (left if over else left - 1), self.now
+        return over
+
     def _sweep(self) -> None:
         """Look at what waits and at what is overdue."""
         self.sweep_set = False
