--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -3,6 +3,8 @@
 import re
 from pathlib import Path
 
+from yardspindle import interface as i
+
 ROOT = Path(__file__).parent.parent
 
 
@@ -17,3 +19,13 @@
     assert sum(1 for line in lines if line.strip()) <= 400
     assert max(len(line) for line in lines) <= 110
     assert "yardspindle/interface.py" in lines[0]
+
+
+def test_on_call_names_the_log_lines_that_exist() -> None:
+    page = (ROOT / "docs/on-call.md").read_text()
+    code = (ROOT / "yardspindle/policy.py").read_text()
+    assert 'f"set aside {server.entry.server}: {why}"' in code and 'f"giving up requests: {why}"' in code
+    statuses = (i.Status.CONNECT_FAILED.value, i.Status.RESET.value, "silent")
+    given_up = set(re.findall(r'self\._end\(r, "(\w+)"\)', code))
+    assert set(re.findall(r"`set aside N: (.*?)`", page)) == set(statuses)
+    assert set(re.findall(r"`giving up requests: (.*?)`", page)) == given_up
