Try what waits in order of its class's worth

Cause: under bursts the room that came free went to whoever waited first. It may harm the worst class where room is short for long.

--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -242,6 +242,17 @@
     assert burst("small", 2) == 0
 
 
+def test_what_waits_is_tried_in_order_of_worth() -> None:
+    classes = (i.RequestClass("safe", 1_000_000, 5_000_000),
+               i.RequestClass("dear", 1_000_000, 5_000_000, worth=3.0))
+    router = Router("rw", classes=classes)
+    for cls in ("safe", "safe", "dear"):  # the first is read, the others wait
+        router.ask(cls)
+    router.end(1, 0, 1, i.Status.RESET)
+    router.policy.servers[1].strikes, router.policy.servers[1].shut_until = 0, 0
+    assert [a.request for a in router.sweep(20) if isinstance(a, i.Send)][:1] == [3]
+
+
 def test_restart_voids_strikes() -> None:
     router = Router("rw")
     router.ask()
--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -439,7 +439,7 @@
         for server in self.servers.values():
             if self.now >= server.shut_until and self._silent(server):
                 self._rescue(server)
-        for r in list(self.open.values()):
+        for r in sorted(self.open.values(), key=lambda r: -r.cls.worth):  # the scarce room to the most worth
             if not r.out and r.ask.request in self.open:  # it waits
                 if self.now >= r.ask.expires_us - 2 * SWEEP_US:
                     self._end(r, "time")
