--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -253,6 +253,13 @@
     assert [a.request for a in router.sweep(20) if isinstance(a, i.Send)][:1] == [3]
 
 
+def test_list_is_watched_where_it_is_not_pushed() -> None:
+    router = Router("rw", list_pushed=False)
+    assert i.Watch(True) in router.feed(i.Members(i.ListKind.FAILED, 1, ()))
+    assert sends(router.ask()) == [1]  # the old list still holds
+    assert not Router("rw").feed(i.Members(i.ListKind.STALE, 1, ()))
+
+
 def test_restart_voids_strikes() -> None:
     router = Router("rw")
     router.ask()
--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -114,8 +114,8 @@
     # --- membership and health
 
     def _members(self, event: i.Members) -> None:
-        if event.list_kind is i.ListKind.FAILED:
-            return
+        if not self.set.list_pushed and event.list_kind in (i.ListKind.STALE, i.ListKind.FAILED):
+            self.acts.append(i.Watch(True))  # at the start, and again when the subscription is lost
         named = {entry.server for entry in event.entries}
         for entry, kind in ((e, self.kinds[e.kind]) for e in event.entries if e.kind in self.kinds):
             known = self.servers.setdefault(entry.server, Server(entry, kind.role, kind.memory_tokens))
@@ -124,7 +124,7 @@
                 known.sends.clear()
                 known.kept.clear()
             known.entry, known.gone = entry, entry.state is not i.State.SERVING
-        if event.list_kind is not i.ListKind.CHANGES:
+        if event.list_kind in (i.ListKind.COMPLETE, i.ListKind.STALE):
             for number, server in self.servers.items():
                 server.gone = server.gone or number not in named
 
