--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import deque
 from dataclasses import dataclass, field
@@ -21,6 +22,8 @@
 COLD_MARGIN = 0.6  # part of the cold budget that is used: peers may carry more than their even part
 CROWD_TIMES = 1.5  # a cell is passed over when each writer there has so many times our mean streams
 MEMORY_PART = 0.9  # part of a writer's memory that counts as room; answers grow after they start
+SPREAD_TIMES = 1.5  # a reader's even part of all requests, so many times: what one key may bring to one reader
+KEY_SPAN_US = 30_000_000  # how long a key's part of the requests is remembered: a few seconds show a router little
 KEPT_MOST = 10_000  # texts remembered a reader: memory of ours has to end somewhere
 SMOOTH = 0.1  # weight of a new observation in every running mean
 LOG_US = 5_000_000  # at most one line on requests given up in so long
@@ -56,6 +59,7 @@
     ask: i.Request
     cls: i.RequestClass
     aim_us: float
+    key: str  # by which its reader is chosen
     backlog: float = 0.0  # our tokens at the reader when it was sent there
     waits_us: int = 0  # since when it waits
     attempts: int = 0
@@ -80,6 +84,9 @@
         self.classes = {cls.name: cls for cls in settings.classes}
         self.servers: dict[int, Server] = {}
         self.open: dict[int, Open] = {}
+        self.orders: dict[str, list[Server]] = {}  # readers in a key's order; void when the list changes
+        self.keys: dict[str, float] = {}  # requests of a key, and in all, each halved as it ages
+        self.keys_sum, self.keys_us = 0.0, 0
         self.usual = {role: 0.0 for role in i.Role}  # running mean time of a sign: end of a read, first token
         self.read_tokens = 0.0  # running mean of our tokens ahead of a read and its own
         self.carried = {role: 0.0 for role in i.Role}  # own sends in a cold span at a warm server
@@ -116,6 +123,7 @@
     def _members(self, event: i.Members) -> None:
         if not self.set.list_pushed and event.list_kind in (i.ListKind.STALE, i.ListKind.FAILED):
             self.acts.append(i.Watch(True))  # at the start, and again when the subscription is lost
+        self.orders.clear()
         named = {entry.server for entry in event.entries}
         for entry, kind in ((e, self.kinds[e.kind]) for e in event.entries if e.kind in self.kinds):
             known = self.servers.setdefault(entry.server, Server(entry, kind.role, kind.memory_tokens))
@@ -195,11 +203,38 @@
     def _read_rate(self) -> float:  # tokens of ours a microsecond, whatever else the reader had to do
         return self.read_tokens / max(self.usual[i.Role.READ], 1.0)
 
+    def _order(self, key: str) -> list[Server]:
+        """Readers in the key's order, the same at every router; kept, since ranking a fleet is dear."""
+        if key not in self.orders:
+            if len(self.orders) >= KEPT_MOST:
+                self.orders.clear()
+            self.orders[key] = sorted(
+                (s for s in self.servers.values() if s.role is not i.Role.WRITE and not s.gone),
+                key=lambda s: blake2b(f"{key} {s.entry.server}".encode(), digest_size=8).digest())
+        return self.orders[key]
+
+    def _width(self, key: str) -> int:
+        """On how many readers a key is spread: as many as its part of the requests needs."""
+        # One reader for a text that most sessions share jams though the others are idle, and a router
+        # among many sees too little of it to know: the part of the requests is the same at any number.
+        part = self.keys.get(key, 0.0) / max(self.keys_sum, 1.0)
+        return max(1, math.ceil(part * len(self._order(key)) / SPREAD_TIMES))
+
+    def _count_key(self, key: str) -> None:
+        if self.now - self.keys_us > KEY_SPAN_US / 2 or len(self.keys) > KEPT_MOST:
+            self.keys = {k: n / 2 for k, n in self.keys.items() if n > 0.25}
+            self.keys_sum, self.keys_us = sum(self.keys.values()), self.now
+        self.keys[key] = self.keys.get(key, 0.0) + 1
+        self.keys_sum += 1
+
     def _reader(self, r: Open) -> Server | None:
         """The first reader in the key's order that our waiting tokens leave under the bound."""
-        key = r.ask.prefix or r.ask.session or str(r.ask.request)
-        order = sorted(self._pool((i.Role.READ, i.Role.BOTH), r), key=lambda s: blake2b(
-            f"{key} {s.entry.server}".encode(), digest_size=8).digest())  # the same at every router
+        order = self._order(r.key)
+        wide = self._width(r.key)
+        if wide > 1:  # a session keeps to its reader among them, where its earlier turns are kept
+            first = int.from_bytes(blake2b((r.ask.session or "").encode(), digest_size=4).digest()) % wide
+            order = [order[first], *order[:first], *order[first + 1:]]
+        order = [s for s in order if self._usable(s, r)] or self._pool((i.Role.READ, i.Role.BOTH), r)
         if not order:
             return None
         bound = AIM_PART_READER * r.aim_us * self._read_rate()
@@ -247,7 +282,8 @@
     def _arrive(self, ask: i.Request) -> None:
         cls = self.classes[ask.cls]
         aim = cls.aim_us + cls.aim_us_per_1000_prompt_tokens * ask.prompt_tokens / 1000
-        r = self.open[ask.request] = Open(ask, cls, aim)
+        r = self.open[ask.request] = Open(ask, cls, aim, ask.prefix or ask.session or str(ask.request))
+        self._count_key(r.key)
         short = self.now - self.short_us < SHORT_AIMS * self.least_aim
         return self._end(r, "share") if self._over_share(ask.tenant or "") and short else self._start(r)
 
