--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -85,6 +85,7 @@
         self.servers: dict[int, Server] = {}
         self.open: dict[int, Open] = {}
         self.orders: dict[str, list[Server]] = {}  # readers in a key's order; void when the list changes
+        self.cells: dict[int, tuple[float, float]] = {}  # a cell's part of the reads and of the writing
         self.keys: dict[str, float] = {}  # requests of a key, and in all, each halved as it ages
         self.keys_sum, self.keys_us = 0.0, 0
         self.usual = {role: 0.0 for role in i.Role}  # running mean time of a sign: end of a read, first token
@@ -135,6 +136,11 @@
         if event.list_kind in (i.ListKind.COMPLETE, i.ListKind.STALE):
             for number, server in self.servers.items():
                 server.gone = server.gone or number not in named
+        serving = [s for s in self.servers.values() if not s.gone]
+        parts = [{c: sum(s.entry.units for s in serving if s.role is not role and s.entry.cell == c)
+                  for c in dict.fromkeys(s.entry.cell for s in serving)} for role in (i.Role.WRITE, i.Role.READ)]
+        read, write = (max(sum(part.values()), 1e-9) for part in parts)
+        self.cells = {c: (units / read, parts[1][c] / write) for c, units in parts[0].items()}
 
     def _strike(self, server: Server, why: str) -> None:  # pause it, then let single trials through
         server.strikes += 1
@@ -261,8 +267,20 @@
         Dividing by what it can do keeps a cold writer from being taken for the emptiest.
         """
         free = self._writers(r)
-        near = [s for s in free if r.reader is not None and s.entry.cell == r.reader.entry.cell] or free
-        return min(near, key=lambda s: (self._load(s), self.random.random())) if near else None
+        cell = self._cell(r.reader.entry.cell) if r.reader is not None else None
+        near = [s for s in free if s.entry.cell == cell] or [
+            s for s in free if r.reader is not None and s.entry.cell == r.reader.entry.cell] or free
+        return min(near, key=lambda s: self._load(s) + self.random.expovariate(1) / s.entry.units) if near else None
+
+    def _cell(self, home: int) -> int:
+        """Where a state read in a cell is written: there, as far as the cell's part of the writers goes."""
+        # A cell with many readers and few writers fills those while others idle, and no router among many
+        # sees it from its own streams; the list tells each of them the same parts.
+        read, write = self.cells.get(home, (0.0, 0.0))
+        if self.random.random() * read <= write:
+            return home
+        spare = {c: max(w - r, 0.0) for c, (r, w) in self.cells.items()}
+        return self.random.choices(list(spare), list(spare.values()))[0] if sum(spare.values()) > 0 else home
 
     def _load(self, server: Server) -> float:
         return (server.streams + 1) / max(server.entry.units, 1e-9) / self._warmth(server)
