Save up rescues as a part of one stock over all routers

Cause: each of 80 routers began with eight free rescues; servers that stop for no cancel read everything twice or more.

--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -17,7 +17,7 @@
 SILENT_TIMES = 4.0  # a server is silent once it has given no sign for this many times what is usual
 SILENT_AIM_PART = 0.5  # and for this part of the shortest aim (at most twice it): a short pause is no symptom
 RESCUE_PART = 0.1  # rescues a send has earned: a shared slowness must not multiply the work
-RESCUES_MOST = 8.0  # saved up for the moment when a server falls silent with its work
+RESCUES_MOST = 16.0  # saved up over all routers for the moment when a server falls silent with its work
 WAIT_AIM_PART = 0.2  # part of the aim that may be spent waiting before the read; the rest is for the work
 COLD_MARGIN = 0.6  # part of the cold budget that is used: peers may carry more than their even part
 CROWD_TIMES = 1.5  # a cell is passed over when each writer there has so many times our mean streams
@@ -96,7 +96,8 @@
         self.seen, self.seen_us = 0.0, 0  # requests a second that come here
         self.quotas = {t.name: t.quota_per_s for t in settings.tenants if settings.over_share_worth < 1}
         self.left: dict[str, tuple[float, int]] = {}  # what a tenant may still send, since when
-        self.rescues, self.log_us = RESCUES_MOST, 0
+        self.rescues_most = max(RESCUES_MOST / settings.instances, 1.0)
+        self.rescues, self.log_us = self.rescues_most if settings.instances < RESCUES_MOST else 0.0, 0
         self.sweep_set = False
         self.acts: list[i.Action] = []
 
@@ -311,7 +312,7 @@
         r.reads[r.attempts] = tokens
         r.attempts, r.pinned_us = r.attempts + 1, 0
         server.sends.append(self.now)
-        self.rescues = min(self.rescues + RESCUE_PART, RESCUES_MOST)
+        self.rescues = min(self.rescues + RESCUE_PART, self.rescues_most)
         self.acts.append(i.Send(r.ask.request, server.entry.server))
 
     def _start(self, r: Open) -> None:
