Give a cold server a part of the requests, drawn once each, not a count a span

Cause: one send a span and router pushed cold servers over when dozens of routers did it; what a router carries is under one. A server that answers after failed connections counts as freshly started, and one whose connections fail gets as little. May harm if all that a few warm servers leave is drawn for cold ones: such requests wait.

--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -4,7 +4,6 @@
 
 import math
 import random
-from collections import deque
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
@@ -19,7 +18,7 @@
 RESCUE_PART = 0.1  # rescues a send has earned: a shared slowness must not multiply the work
 RESCUES_MOST = 16.0  # saved up over all routers for the moment when a server falls silent with its work
 WAIT_AIM_PART = 0.2  # part of the aim that may be spent waiting before the read; the rest is for the work
-COLD_MARGIN = 0.6  # part of the cold budget that is used: peers may carry more than their even part
+COLD_PART = 0.8  # of the requests that a cold server is sent for what it can do: room for chance and repeats
 CROWD_TIMES = 1.5  # a cell is passed over when each writer there has so many times our mean streams
 MEMORY_PART = 0.9  # part of a writer's memory that counts as room; answers grow after they start
 SPREAD_TIMES = 1.5  # a reader's even part of all requests, so many times: what one key may bring to one reader
@@ -48,7 +47,7 @@
     shut_until: int = 0
     down: bool = False  # the last strike was a broken or failed connection: it is no sharer of a slowness
     sign_us: int = 0  # when it last answered anything of ours
-    sends: deque[int] = field(default_factory=deque)  # sends in the span of the cold rule
+    since_us: int = 0  # when it last started, as listed or as its answer after failed connections shows
     kept: dict[str, float] = field(default_factory=dict)  # texts it has read for us: tokens
 
 
@@ -60,6 +59,7 @@
     cls: i.RequestClass
     aim_us: float
     key: str  # by which its reader is chosen
+    draw: float  # from 0 to 1: which part of the requests it belongs to
     backlog: float = 0.0  # our tokens at the reader when it was sent there
     waits_us: int = 0  # since when it waits
     attempts: int = 0
@@ -90,7 +90,6 @@
         self.keys_sum, self.keys_us = 0.0, 0
         self.usual = {role: 0.0 for role in i.Role}  # running mean time of a sign: end of a read, first token
         self.read_tokens = 0.0  # running mean of our tokens ahead of a read and its own
-        self.carried = {role: 0.0 for role in i.Role}  # own sends in a cold span at a warm server
         self.least_aim = min(cls.aim_us for cls in settings.classes)
         self.short_us = -(1 << 60)  # when a request last had to wait
         self.seen, self.seen_us = 0.0, 0  # requests a second that come here
@@ -128,10 +127,11 @@
         self.orders.clear()
         named = {entry.server for entry in event.entries}
         for entry, kind in ((e, self.kinds[e.kind]) for e in event.entries if e.kind in self.kinds):
-            known = self.servers.setdefault(entry.server, Server(entry, kind.role, kind.memory_tokens))
+            known = self.servers.setdefault(entry.server, Server(
+                entry, kind.role, kind.memory_tokens, since_us=entry.up_since_us))
             if entry.up_since_us > known.entry.up_since_us:  # restarted: what we held against it is void
                 known.strikes, known.shut_until, known.down = 0, 0, False
-                known.sends.clear()
+                known.since_us = entry.up_since_us
                 known.kept.clear()
             known.entry, known.gone = entry, entry.state is not i.State.SERVING
         if event.list_kind in (i.ListKind.COMPLETE, i.ListKind.STALE):
@@ -150,9 +150,9 @@
         server.shut_until = self.now + TRIAL_US * (1 << min(server.strikes - 1, 3))
 
     def _learn(self, server: Server, latency_us: float) -> None:  # any sign shows that the server lives
+        if server.down:  # it restarted, and the list, seconds late, has not told yet
+            server.since_us = self.now
         server.sign_us, server.strikes, server.down = self.now, 0, False
-        if self._warmth(server) >= 1:  # counted when answered: sends to the dead are nothing a server carries
-            self.carried[server.role] += SMOOTH * (self._spent(server) - self.carried[server.role])
         self.usual[server.role] += SMOOTH * (latency_us - self.usual[server.role])
 
     def _silent(self, server: Server) -> bool:
@@ -167,22 +167,21 @@
             allowed += 2 * self._new(self.open[number], server) / self._read_rate()
         return self.now - max(sent, server.sign_us) > allowed
 
-    def _spent(self, server: Server) -> int:  # own sends in the span of the cold rule
-        while server.sends and server.sends[0] <= self.now - self.set.fall_us:
-            server.sends.popleft()
-        return len(server.sends)
-
     def _warmth(self, server: Server) -> float:
         """What part of its capacity a server has surely regained; its ramp is not told: take a line."""
-        age = self.now - server.entry.up_since_us
-        if not server.entry.up_since_us or age >= self.set.cold_us:
+        age = self.now - server.since_us
+        if server.strikes and server.down:  # it may be back, freshly started
+            return self.set.start_capacity
+        if not server.since_us or age >= self.set.cold_us:
             return 1.0
         return self.set.start_capacity + (1 - self.set.start_capacity) * max(age, 0) / self.set.cold_us
 
-    def _budget(self, server: Server) -> bool:
-        """Whether a cold server can be sent one more without our part of the fall-over budget being spent."""
-        part = COLD_MARGIN * self.set.fall_multiple * self._warmth(server) * self.carried[server.role]
-        return self._warmth(server) >= 1 or self._spent(server) + 1 <= max(1.0, part)
+    def _budget(self, server: Server, r: Open) -> bool:
+        """Whether a request is among the part that a cold server can do: all routers together stay under it."""
+        # A count of sends a span cannot be shared by routers that each have less than one; a part of the
+        # requests can. One draw a request, whatever the server: else those that wait get through in the end.
+        warmth = self._warmth(server)
+        return warmth >= 1 or r.draw < COLD_PART * warmth
 
     def _usable(self, server: Server, r: Open) -> bool:
         """Serving, not shut, within the cold budget, and if suspect with no trial out."""
@@ -190,7 +189,7 @@
                 and self._fits(server, r))
 
     def _fits(self, server: Server, r: Open) -> bool:
-        return server.entry.server not in r.avoid and self._may_run(r, server) and self._budget(server)
+        return server.entry.server not in r.avoid and self._may_run(r, server) and self._budget(server, r)
 
     def _pool(self, roles: tuple[i.Role, ...], r: Open) -> list[Server]:
         """Servers of a role that may be sent to; when most look bad the cause is shared and none is shut."""
@@ -301,7 +300,7 @@
     def _arrive(self, ask: i.Request) -> None:
         cls = self.classes[ask.cls]
         aim = cls.aim_us + cls.aim_us_per_1000_prompt_tokens * ask.prompt_tokens / 1000
-        r = self.open[ask.request] = Open(ask, cls, aim, ask.prefix or ask.session or str(ask.request))
+        r = self.open[ask.request] = Open(ask, cls, aim, ask.prefix or ask.session or str(ask.request), self.random.random())
         self._count_key(r.key)
         short = self.now - self.short_us < SHORT_AIMS * self.least_aim
         return self._end(r, "share") if self._over_share(ask.tenant or "") and short else self._start(r)
@@ -311,7 +310,6 @@
         r.out[r.attempts] = server
         r.reads[r.attempts] = tokens
         r.attempts, r.pinned_us = r.attempts + 1, 0
-        server.sends.append(self.now)
         self.rescues = min(self.rescues + RESCUE_PART, self.rescues_most)
         self.acts.append(i.Send(r.ask.request, server.entry.server))
 
