--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -19,7 +19,7 @@
 RESCUES_MOST = 16.0  # saved up over all routers for the moment when a server falls silent with its work
 WAIT_AIM_PART = 0.2  # part of the aim that may be spent waiting before the read; the rest is for the work
 COLD_PART = 0.8  # of the requests that a cold server is sent for what it can do: room for chance and repeats
-CROWD_TIMES = 1.5  # a cell is passed over when each writer there has so many times our mean streams
+PULL_MOST = 1.25  # a reader in a cell with many writers gets at most so many times its even part of the keys
 MEMORY_PART = 0.9  # part of a writer's memory that counts as room; answers grow after they start
 SPREAD_TIMES = 1.5  # a reader's even part of all requests, so many times: what one key may bring to one reader
 KEY_SPAN_US = 30_000_000  # how long a key's part of the requests is remembered: a few seconds show a router little
@@ -141,7 +141,9 @@
         parts = [{c: sum(s.entry.units for s in serving if s.role is not role and s.entry.cell == c)
                   for c in dict.fromkeys(s.entry.cell for s in serving)} for role in (i.Role.WRITE, i.Role.READ)]
         read, write = (max(sum(part.values()), 1e-9) for part in parts)
-        self.cells = {c: (units / read, parts[1][c] / write) for c, units in parts[0].items()}
+        self.pull = {c: min(parts[1][c] / write / max(units / read, 1e-9), PULL_MOST) for c, units in parts[0].items()}
+        pulled = max(sum(units * self.pull[c] for c, units in parts[0].items()), 1e-9)
+        self.cells = {c: (units * self.pull[c] / pulled, parts[1][c] / write) for c, units in parts[0].items()}
 
     def _strike(self, server: Server, why: str) -> None:  # pause it, then let single trials through
         server.strikes += 1
@@ -216,9 +218,15 @@
                 self.orders.clear()
             self.orders[key] = sorted(
                 (s for s in self.servers.values() if s.role is not i.Role.WRITE and not s.gone),
-                key=lambda s: blake2b(f"{key} {s.entry.server}".encode(), digest_size=8).digest())
+                key=lambda s: self._rank(key, s))
         return self.orders[key]
 
+    def _rank(self, key: str, server: Server) -> float:
+        """Weighted rendezvous hash: a cell draws keys by its readers, less where it has few writers for them."""
+        digest = blake2b(f"{key} {server.entry.server}".encode(), digest_size=6).digest()
+        weight = max(server.entry.units * self.pull.get(server.entry.cell, 0.0), 1e-9)
+        return -math.log((int.from_bytes(digest) + 1) / (1 << 48)) / weight
+
     def _width(self, key: str) -> int:
         """On how many readers a key is spread: as many as its part of the requests needs."""
         # One reader for a text that most sessions share jams though the others are idle, and a router
@@ -244,14 +252,9 @@
         if not order:
             return None
         bound = AIM_PART_READER * r.aim_us * self._read_rate()
-        writers = self._writers(r)
-        even = CROWD_TIMES * sum(map(self._load, writers)) / max(len(writers), 1)
-        half = MEMORY_PART / self.set.instances / 2  # few streams are no crowd, however uneven
-        cells = {w.entry.cell for w in writers if self._load(w) <= even or w.held < half * w.memory}
-        near = [s for s in order if s.entry.cell in cells] or order
-        if near[0].tokens + self._new(r, near[0]) > bound:
-            near.sort(key=lambda s: s.tokens + self._new(r, s))
-        return near[0] if not near[0].tokens or near[0].tokens + self._new(r, near[0]) <= bound else None
+        if order[0].tokens + self._new(r, order[0]) > bound:
+            order.sort(key=lambda s: s.tokens + self._new(r, s))
+        return order[0] if not order[0].tokens or order[0].tokens + self._new(r, order[0]) <= bound else None
 
     # --- writer choice
 
