--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -23,6 +23,7 @@
 MEMORY_PART = 0.9  # part of a writer's memory that counts as room; answers grow after they start
 SPREAD_TIMES = 1.5  # a reader's even part of all requests, so many times: what one key may bring to one reader
 KEY_SPAN_US = 30_000_000  # how long a key's part of the requests is remembered: a few seconds show a router little
+PULL_ROUNDS = 8  # in which the parts of the cells come to add up to one
 KEPT_MOST = 10_000  # texts remembered a reader: memory of ours has to end somewhere
 SMOOTH = 0.1  # weight of a new observation in every running mean
 LOG_US = 5_000_000  # at most one line on requests given up in so long
@@ -141,9 +142,12 @@
         parts = [{c: sum(s.entry.units for s in serving if s.role is not role and s.entry.cell == c)
                   for c in dict.fromkeys(s.entry.cell for s in serving)} for role in (i.Role.WRITE, i.Role.READ)]
         read, write = (max(sum(part.values()), 1e-9) for part in parts)
-        self.pull = {c: min(parts[1][c] / write / max(units / read, 1e-9), PULL_MOST) for c, units in parts[0].items()}
-        pulled = max(sum(units * self.pull[c] for c, units in parts[0].items()), 1e-9)
-        self.cells = {c: (units * self.pull[c] / pulled, parts[1][c] / write) for c, units in parts[0].items()}
+        reads = {c: units / read for c, units in parts[0].items()}
+        scale = 1.0
+        for _ in range(PULL_ROUNDS):
+            self.pull = {c: min(scale * parts[1][c] / write / max(r, 1e-9), PULL_MOST) for c, r in reads.items()}
+            scale /= max(sum(r * self.pull[c] for c, r in reads.items()), 1e-9)
+        self.cells = {c: (r * self.pull[c], parts[1][c] / write) for c, r in reads.items()}
 
     def _strike(self, server: Server, why: str) -> None:  # pause it, then let single trials through
         server.strikes += 1
