--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -13,6 +13,8 @@
 TRIAL_US = 250_000  # a suspect's first pause; doubled for each further failure, as its cause may last
 BUSY_US = 100_000  # a writer that was full gets no new work for about the time of a few tokens
 AIM_PART_READER = 0.25  # part of the aim our tokens may wait at a reader; past it at all, none
+SPILL = 1  # readers past those of its width that a key may be read at
+LATE_AIM_PART = 0.4  # part of the aim that others' reads may take before ours; past it at all, it waits
 SILENT_TIMES = 4.0  # a server is silent once it has given no sign for this many times what is usual
 SILENT_AIM_PART = 0.5  # and for this part of the shortest aim (at most twice it): a short pause is no symptom
 RESCUE_PART = 0.1  # rescues a send has earned: a shared slowness must not multiply the work
@@ -49,6 +51,8 @@
     down: bool = False  # the last strike was a broken or failed connection: it is no sharer of a slowness
     sign_us: int = 0  # when it last answered anything of ours
     since_us: int = 0  # when it last started, as listed or as its answer after failed connections shows
+    late_us: float = 0.0  # how long a read there last took beyond its own reading, seen when
+    late_at: int = 0
     kept: dict[str, float] = field(default_factory=dict)  # texts it has read for us: tokens
 
 
@@ -90,6 +94,7 @@
         self.keys: dict[str, float] = {}  # requests of a key, and in all, each halved as it ages
         self.keys_sum, self.keys_us = 0.0, 0
         self.usual = {role: 0.0 for role in i.Role}  # running mean time of a sign: end of a read, first token
+        self.best_rate = 0.0  # tokens a microsecond that a reader read when nothing was in its way
         self.read_tokens = 0.0  # running mean of our tokens ahead of a read and its own
         self.least_aim = min(cls.aim_us for cls in settings.classes)
         self.short_us = -(1 << 60)  # when a request last had to wait
@@ -215,6 +220,16 @@
     def _read_rate(self) -> float:  # tokens of ours a microsecond, whatever else the reader had to do
         return self.read_tokens / max(self.usual[i.Role.READ], 1.0)
 
+    def _late(self, server: Server) -> float:
+        """How long a read has to wait there, by what we saw last: half of the time since has worked it off."""
+        # Own tokens say nothing where many routers fill a reader: reads that came too late were sent all the
+        # same, read in vain and repeated, and the jam outlived its cause by minutes.
+        seen = server.late_us - (self.now - server.late_at) / 2
+        if not server.out:
+            return seen
+        (number, _), sent = next(iter(server.out.items()))
+        return max(seen, self.now - sent - self._new(self.open[number], server) / max(self.best_rate, 1e-9))
+
     def _order(self, key: str) -> list[Server]:
         """Readers in the key's order, the same at every router; kept, since ranking a fleet is dear."""
         if key not in self.orders:
@@ -252,7 +267,12 @@
         if wide > 1:  # a session keeps to its reader among them, where its earlier turns are kept
             first = int.from_bytes(blake2b((r.ask.session or "").encode(), digest_size=4).digest()) % wide
             order = [order[first], *order[:first], *order[first + 1:]]
-        order = [s for s in order if self._usable(s, r)] or self._pool((i.Role.READ, i.Role.BOTH), r)
+        # A text read ever farther from its home fills every reader's memory: the fleet forgets all and jams.
+        order = [s for s in order if not s.down and not s.gone][:wide + SPILL]
+        order = [s for s in order if self._usable(s, r)]
+        if not order:
+            return None
+        order = [s for s in order if self._late(s) <= LATE_AIM_PART * r.aim_us]
         if not order:
             return None
         bound = AIM_PART_READER * r.aim_us * self._read_rate()
@@ -414,6 +434,8 @@
         elif status in (i.Status.CONNECT_FAILED, i.Status.RESET):
             self._strike(server, status.value)
             server.down = True
+        if server.role is i.Role.READ:
+            self._pace(server, event, r)
         if r is None:
             if status is i.Status.READ:  # read for a request that has ended: nothing may stay pinned
                 self.acts.append(i.Discard(event.request))
@@ -446,6 +468,17 @@
         r.avoid.add(event.server)
         return self._next(r)
 
+    def _pace(self, server: Server, event: i.Outcome, r: Open | None) -> None:
+        """Learn from a read's end how long reads wait at this reader."""
+        tokens = max(r.ask.prompt_tokens - event.note, 1.0) if r is not None else 0.0
+        if event.status is i.Status.READ and r is not None:
+            self.best_rate = max(self.best_rate, tokens / max(event.latency_us, self.set.tick_us))
+        if event.status is i.Status.FULL:  # its queue is longer than anyone wants to wait
+            server.late_us, server.late_at = self.least_aim, self.now
+        elif event.status in (i.Status.READ, i.Status.TIMEOUT, i.Status.CANCELLED):
+            late = event.latency_us - tokens / max(self.best_rate, 1e-9)
+            server.late_us, server.late_at = max(late, 0.0), self.now
+
     def _rescue(self, server: Server) -> None:
         """A silent server gets a strike; its reads are taken elsewhere; what a writer may have run is not."""
         self._strike(server, "silent")
