--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -268,7 +268,10 @@
             first = int.from_bytes(blake2b((r.ask.session or "").encode(), digest_size=4).digest()) % wide
             order = [order[first], *order[:first], *order[first + 1:]]
         # A text read ever farther from its home fills every reader's memory: the fleet forgets all and jams.
-        order = [s for s in order if not s.down and not s.gone][:wide + SPILL]
+        order = [s for s in order if not s.down and not s.gone]
+        kept = max([r.ask.prefix_tokens, *(s.kept.get(r.ask.session or "", 0.0) for s in order[:1])])
+        if 2 * kept > r.ask.prompt_tokens:  # a prompt that is new for the most part loses nothing elsewhere
+            order = order[:wide + SPILL]
         order = [s for s in order if self._usable(s, r)]
         if not order:
             return None
