--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -14,6 +14,7 @@
 BUSY_US = 100_000  # a writer that was full gets no new work for about the time of a few tokens
 AIM_PART_READER = 0.25  # part of the aim our tokens may wait at a reader; past it at all, none
 SPILL = 1  # readers past those of its width that a key may be read at
+KEPT_PART = 0.2  # part of a prompt that must be kept at its home for a read elsewhere to cost the fleet
 LATE_AIM_PART = 0.4  # part of the aim that others' reads may take before ours; past it at all, it waits
 SILENT_TIMES = 4.0  # a server is silent once it has given no sign for this many times what is usual
 SILENT_AIM_PART = 0.5  # and for this part of the shortest aim (at most twice it): a short pause is no symptom
@@ -270,7 +271,7 @@
         # A text read ever farther from its home fills every reader's memory: the fleet forgets all and jams.
         order = [s for s in order if not s.down and not s.gone]
         kept = max([r.ask.prefix_tokens, *(s.kept.get(r.ask.session or "", 0.0) for s in order[:1])])
-        if 2 * kept > r.ask.prompt_tokens:  # a prompt that is new for the most part loses nothing elsewhere
+        if kept > KEPT_PART * r.ask.prompt_tokens:  # a prompt that is new for the most part loses nothing elsewhere
             order = order[:wide + SPILL]
         order = [s for s in order if self._usable(s, r)]
         if not order:
