--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -266,8 +266,8 @@
         order = self._order(r.key)
         wide = self._width(r.key)
         if wide > 1:  # a session keeps to its reader among them, where its earlier turns are kept
-            first = int.from_bytes(blake2b((r.ask.session or "").encode(), digest_size=4).digest()) % wide
-            order = [order[first], *order[:first], *order[first + 1:]]
+            near = self._order(r.key)[:wide]
+            order = sorted(near, key=lambda s: self._rank(r.ask.session or "", s)) + order[wide:]
         # A text read ever farther from its home fills every reader's memory: the fleet forgets all and jams.
         order = [s for s in order if not s.down and not s.gone]
         kept = max([r.ask.prefix_tokens, *(s.kept.get(r.ask.session or "", 0.0) for s in order[:1])])
