Remove rescues of silent reads

Reads were doubled on readers that were only late, and most servers stop for no cancel; a late reader is passed over now. Harms single reads on a hung server: they are lost.

--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -18,8 +18,6 @@
 LATE_AIM_PART = 0.4  # part of the aim that others' reads may take before ours; past it at all, it waits
 SILENT_TIMES = 4.0  # a server is silent once it has given no sign for this many times what is usual
 SILENT_AIM_PART = 0.5  # and for this part of the shortest aim (at most twice it): a short pause is no symptom
-RESCUE_PART = 0.1  # rescues a send has earned: a shared slowness must not multiply the work
-RESCUES_MOST = 16.0  # saved up over all routers for the moment when a server falls silent with its work
 WAIT_AIM_PART = 0.2  # part of the aim that may be spent waiting before the read; the rest is for the work
 COLD_PART = 0.8  # of the requests that a cold server is sent for what it can do: room for chance and repeats
 PULL_MOST = 1.25  # a reader in a cell with many writers gets at most so many times its even part of the keys
@@ -102,8 +100,7 @@
         self.seen, self.seen_us = 0.0, 0  # requests a second that come here
         self.quotas = {t.name: t.quota_per_s for t in settings.tenants if settings.over_share_worth < 1}
         self.left: dict[str, tuple[float, int]] = {}  # what a tenant may still send, since when
-        self.rescues_most = max(RESCUES_MOST / settings.instances, 1.0)
-        self.rescues, self.log_us = self.rescues_most if settings.instances < RESCUES_MOST else 0.0, 0
+        self.log_us = 0
         self.sweep_set = False
         self.acts: list[i.Action] = []
 
@@ -341,7 +338,6 @@
         r.out[r.attempts] = server
         r.reads[r.attempts] = tokens
         r.attempts, r.pinned_us = r.attempts + 1, 0
-        self.rescues = min(self.rescues + RESCUE_PART, self.rescues_most)
         self.acts.append(i.Send(r.ask.request, server.entry.server))
 
     def _start(self, r: Open) -> None:
@@ -483,16 +479,6 @@
             late = event.latency_us - tokens / max(self.best_rate, 1e-9)
             server.late_us, server.late_at = max(late, 0.0), self.now
 
-    def _rescue(self, server: Server) -> None:
-        """A silent server gets a strike; its reads are taken elsewhere; what a writer may have run is not."""
-        self._strike(server, "silent")
-        for number, seq in list(server.out) if server.role is i.Role.READ else ():
-            r, able = self.open[number], self.set.cancel and self.rescues >= 1
-            if able and r.attempts + 2 <= self.set.max_attempts and self._reader(r) not in (None, server):
-                self.acts.append(i.Cancel(number, seq))
-                self.rescues -= 1
-                r.avoid.add(server.entry.server)
-
     def _drop_held(self, r: Open) -> None:
         """Let go of every state and place: nothing stays pinned, whatever led here."""
         self._unplace(r)
@@ -535,7 +521,7 @@
         self.sweep_set = False
         for server in self.servers.values():
             if self.now >= server.shut_until and self._silent(server):
-                self._rescue(server)
+                self._strike(server, "silent")
         for r in sorted(self.open.values(), key=lambda r: -r.cls.worth):  # the scarce room to the most worth
             if not r.out and r.ask.request in self.open:  # it waits
                 if self.now >= r.ask.expires_us - 2 * SWEEP_US:
