--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -167,13 +167,11 @@
     def _silent(self, server: Server) -> bool:
         """Whether nothing has come for far longer than the work explains: hung, cut off, stalled."""
         # Harmful if all were slow together: `_pool` ejects none when most look bad, and rescues are few.
-        if not server.out:
+        if not server.out or server.role is i.Role.READ:  # a reader that gives no sign is late, see `_late`
             return False
-        (number, _), sent = next(iter(server.out.items()))
+        sent = next(iter(server.out.values()))
         least = SILENT_AIM_PART * self.least_aim
         allowed = min(max(SILENT_TIMES * self.usual[server.role], least), 2 * least)
-        if self.read_tokens and server.role is i.Role.READ:  # a long read is not silence
-            allowed += 2 * self._new(self.open[number], server) / self._read_rate()
         return self.now - max(sent, server.sign_us) > allowed
 
     def _warmth(self, server: Server) -> float:
