--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -11,7 +11,8 @@
 
 SWEEP_US = 20_000  # how often waiting requests and silent servers are looked at; far under any release time
 TRIAL_US = 250_000  # a suspect's first pause; doubled for each further failure, as its cause may last
-BUSY_US = 100_000  # a writer that was full gets no new work for about the time of a few tokens
+BUSY_US = 100_000  # a writer that was full gets none of the tenant's work for about the time of a few tokens
+FULL_DOUBLINGS = 6  # so often that time doubles while it stays full, to about the time of some answers
 AIM_PART_READER = 0.25  # part of the aim our tokens may wait at a reader; past it at all, none
 SPILL = 1  # readers past those of its width that a key may be read at
 KEPT_PART = 0.2  # part of a prompt that must be kept at its home for a read elsewhere to cost the fleet
@@ -47,6 +48,7 @@
     streams: int = 0  # own answers and places at the writer
     strikes: int = 0
     shut_until: int = 0
+    full: dict[str | None, tuple[int, int]] = field(default_factory=dict)  # by tenant: shut until, times full
     down: bool = False  # the last strike was a broken or failed connection: it is no sharer of a slowness
     sign_us: int = 0  # when it last answered anything of ours
     since_us: int = 0  # when it last started, as listed or as its answer after failed connections shows
@@ -196,7 +198,7 @@
                 and self._fits(server, r))
 
     def _fits(self, server: Server, r: Open) -> bool:
-        return server.entry.server not in r.avoid and self._may_run(r, server) and self._budget(server, r)
+        return server.entry.server not in r.avoid and self.now >= server.full.get(r.ask.tenant, (0, 0))[0] and self._may_run(r, server) and self._budget(server, r)
 
     def _pool(self, roles: tuple[i.Role, ...], r: Open) -> list[Server]:
         """Servers of a role that may be sent to; when most look bad the cause is shared and none is shut."""
@@ -418,6 +420,7 @@
                 self._unplace(r)
         elif event.attempt in r.out:
             server = r.out[event.attempt]
+            server.full.pop(r.ask.tenant, None)
             server.out.pop((event.request, event.attempt), None)
             self._learn(server, event.latency_us)
             r.streaming, r.pinned_us = True, 0
@@ -428,7 +431,10 @@
         if status in (i.Status.READ, i.Status.SERVED):
             server.sign_us, server.strikes = self.now, 0
         elif status is i.Status.FULL and event.note == 0:
-            server.sign_us, server.shut_until = self.now, max(server.shut_until, self.now + BUSY_US)
+            server.sign_us = self.now
+            if r is not None:  # a server may turn one tenant away though it has room: only that one is kept off
+                times = server.full.get(r.ask.tenant, (0, 0))[1]
+                server.full[r.ask.tenant] = self.now + BUSY_US * (1 << min(times, FULL_DOUBLINGS)), times + 1
         elif status in (i.Status.CONNECT_FAILED, i.Status.RESET):
             self._strike(server, status.value)
             server.down = True
@@ -443,6 +449,7 @@
             return self._end(r, None)
         if read:
             if status is i.Status.READ:
+                server.full.pop(r.ask.tenant, None)
                 self._learn(server, event.latency_us)
                 if len(server.kept) > KEPT_MOST:
                     server.kept.clear()
