--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -12,7 +12,8 @@
 SWEEP_US = 20_000  # how often waiting requests and silent servers are looked at; far under any release time
 TRIAL_US = 250_000  # a suspect's first pause; doubled for each further failure, as its cause may last
 BUSY_US = 100_000  # a writer that was full gets none of the tenant's work for about the time of a few tokens
-FULL_DOUBLINGS = 6  # so often that time doubles while it stays full, to about the time of some answers
+FULL_TIMES = 20  # or for so many times what it took to say so: to ask must cost little of a tenant's time
+FULL_DOUBLINGS = 3  # so often that time doubles while it stays full
 AIM_PART_READER = 0.25  # part of the aim our tokens may wait at a reader; past it at all, none
 SPILL = 1  # readers past those of its width that a key may be read at
 KEPT_PART = 0.2  # part of a prompt that must be kept at its home for a read elsewhere to cost the fleet
@@ -266,7 +267,7 @@
             near = self._order(r.key)[:wide]
             order = sorted(near, key=lambda s: self._rank(r.ask.session or "", s)) + order[wide:]
         # A text read ever farther from its home fills every reader's memory: the fleet forgets all and jams.
-        order = [s for s in order if not s.down and not s.gone]
+        order = [s for s in order if not s.down and not s.gone and self.now >= s.full.get(r.ask.tenant, (0, 0))[0]]
         kept = max([r.ask.prefix_tokens, *(s.kept.get(r.ask.session or "", 0.0) for s in order[:1])])
         if kept > KEPT_PART * r.ask.prompt_tokens:  # a prompt that is new for the most part loses nothing elsewhere
             order = order[:wide + SPILL]
@@ -434,7 +435,8 @@
             server.sign_us = self.now
             if r is not None:  # a server may turn one tenant away though it has room: only that one is kept off
                 times = server.full.get(r.ask.tenant, (0, 0))[1]
-                server.full[r.ask.tenant] = self.now + BUSY_US * (1 << min(times, FULL_DOUBLINGS)), times + 1
+                pause = max(BUSY_US, FULL_TIMES * event.latency_us) << min(times, FULL_DOUBLINGS)
+                server.full[r.ask.tenant] = self.now + pause, times + 1
         elif status in (i.Status.CONNECT_FAILED, i.Status.RESET):
             self._strike(server, status.value)
             server.down = True
