Ask the next writer for a place when one is refused

The note names the reader's number, not the writer's, so a refused place was never heard of; the ledger fed the wrong number too. Each asking costs a probe's price; under overload it fills every writer.

--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -155,7 +155,7 @@
             if self.reads(server):
                 if h.place is not None:
                     held = self.draw.random() < 0.5
-                    event = i.Note(number, attempt, h.place, held)
+                    event = i.Note(number, attempt, server, held)  # as the wire does: the reader's number
                     h.place = h.place if held else None
                     self.feed(event)
             elif h.streaming is None and not h.finished:
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -83,11 +83,18 @@
     assert len({router.home(prefix=None, session=f"s{n}") for n in range(20)}) > 1
 
 
-def test_place_not_held_goes_to_fewest_streams() -> None:
+def test_place_not_held_is_asked_elsewhere_while_the_read_goes_on() -> None:
     router = Router("rww")
     place = places(router.ask())[0]
-    router.feed(i.Note(1, 0, place, False))
-    assert sends(router.end(1, 0, 1, i.Status.READ))[0] in (2, 3)
+    assert places(router.feed(i.Note(1, 0, 1, False))) == [5 - place]  # the note names the reader
+    assert sends(router.end(1, 0, 1, i.Status.READ)) == [5 - place]
+
+
+def test_asking_for_places_ends() -> None:
+    router = Router("r" + "w" * 9)
+    router.ask()
+    asked = [places(router.feed(i.Note(1, 0, 1, False))) for _ in range(9)]
+    assert 1 <= sum(map(len, asked)) <= 5
 
 
 def test_other_cell_when_the_cell_has_no_writer() -> None:
@@ -104,7 +111,7 @@
 def test_drained_server_gets_neither_send_nor_place_even_if_held() -> None:
     router = Router("rww")
     place = places(router.ask())[0]
-    router.feed(i.Note(1, 0, place, True))
+    router.feed(i.Note(1, 0, 1, True))
     router.change(place, i.State.DRAINING)
     assert sends(router.end(1, 0, 1, i.Status.READ)) == [5 - place]
 
--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -16,6 +16,7 @@
 FULL_DOUBLINGS = 3  # so often that time doubles while it stays full
 AIM_PART_READER = 0.25  # part of the aim our tokens may wait at a reader; past it at all, none
 SPILL = 1  # readers past those of its width that a key may be read at
+PLACES_MOST = 4  # writers asked for a place with one read; each asking costs what a probe costs
 KEPT_PART = 0.2  # part of a prompt that must be kept at its home for a read elsewhere to cost the fleet
 LATE_AIM_PART = 0.4  # part of the aim that others' reads may take before ours; past it at all, it waits
 SILENT_TIMES = 4.0  # a server is silent once it has given no sign for this many times what is usual
@@ -78,6 +79,7 @@
     ran_us: int = 0  # when the first attempt that may have run was sent; 0 when none was
     ran_on: Server | None = None
     avoid: set[int] = field(default_factory=set)
+    asked: set[int] = field(default_factory=set)  # writers that had no place for it
     reads: dict[int, float] = field(default_factory=dict)  # attempts that read: tokens counted at the reader
 
 
@@ -296,6 +298,7 @@
         Dividing by what it can do keeps a cold writer from being taken for the emptiest.
         """
         free = self._writers(r)
+        free = [s for s in free if s.entry.server not in r.asked] or free
         cell = self._cell(r.reader.entry.cell) if r.reader is not None else None
         near = [s for s in free if s.entry.cell == cell] or [
             s for s in free if r.reader is not None and s.entry.cell == r.reader.entry.cell] or free
@@ -361,10 +364,13 @@
         r.backlog = reader.tokens
         self._send(r, reader, new)
         if self.set.ahead:
-            r.place = self._take(r, writer)
-            self.acts.append(i.Ahead(r.ask.request, writer.entry.server))
+            self._ask(r, writer)
         return None
 
+    def _ask(self, r: Open, writer: Server) -> None:
+        r.place = self._take(r, writer)
+        self.acts.append(i.Ahead(r.ask.request, writer.entry.server))
+
     def _write(self, r: Open, server: Server) -> None:
         """Send to a writer (or a mixed server)."""
         if r.place is not server:
@@ -417,8 +423,12 @@
         if isinstance(event, i.Hangup):
             self._end(r, None)
         elif isinstance(event, i.Note):
-            if not event.held and r.place is not None and r.place.entry.server == event.server:
-                self._unplace(r)
+            if not event.held and r.place is not None:  # the note names the reader, not the writer
+                r.asked.add(r.place.entry.server)
+                self._unplace(r)  # the one sure sign of a full writer: ask the next while the read goes on
+                writer = self._writer(r)
+                if writer is not None and len(r.asked) < PLACES_MOST and r.out:
+                    self._ask(r, writer)
         elif event.attempt in r.out:
             server = r.out[event.attempt]
             server.full.pop(r.ask.tenant, None)
