--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -19,8 +19,6 @@
 PLACES_MOST = 4  # writers asked for a place with one read; each asking costs what a probe costs
 KEPT_PART = 0.2  # part of a prompt that must be kept at its home for a read elsewhere to cost the fleet
 LATE_AIM_PART = 0.4  # part of the aim that others' reads may take before ours; past it at all, it waits
-SILENT_TIMES = 4.0  # a server is silent once it has given no sign for this many times what is usual
-SILENT_AIM_PART = 0.5  # and for this part of the shortest aim (at most twice it): a short pause is no symptom
 WAIT_AIM_PART = 0.2  # part of the aim that may be spent waiting before the read; the rest is for the work
 COLD_PART = 0.8  # of the requests that a cold server is sent for what it can do: room for chance and repeats
 PULL_MOST = 1.25  # a reader in a cell with many writers gets at most so many times its even part of the keys
@@ -52,7 +50,6 @@
     shut_until: int = 0
     full: dict[str | None, tuple[int, int]] = field(default_factory=dict)  # by tenant: shut until, times full
     down: bool = False  # the last strike was a broken or failed connection: it is no sharer of a slowness
-    sign_us: int = 0  # when it last answered anything of ours
     since_us: int = 0  # when it last started, as listed or as its answer after failed connections shows
     late_us: float = 0.0  # how long a read there last took beyond its own reading, seen when
     late_at: int = 0
@@ -166,19 +163,9 @@
     def _learn(self, server: Server, latency_us: float) -> None:  # any sign shows that the server lives
         if server.down:  # it restarted, and the list, seconds late, has not told yet
             server.since_us = self.now
-        server.sign_us, server.strikes, server.down = self.now, 0, False
+        server.strikes, server.down = 0, False
         self.usual[server.role] += SMOOTH * (latency_us - self.usual[server.role])
 
-    def _silent(self, server: Server) -> bool:
-        """Whether nothing has come for far longer than the work explains: hung, cut off, stalled."""
-        # Harmful if all were slow together: `_pool` ejects none when most look bad, and rescues are few.
-        if not server.out or server.role is i.Role.READ:  # a reader that gives no sign is late, see `_late`
-            return False
-        sent = next(iter(server.out.values()))
-        least = SILENT_AIM_PART * self.least_aim
-        allowed = min(max(SILENT_TIMES * self.usual[server.role], least), 2 * least)
-        return self.now - max(sent, server.sign_us) > allowed
-
     def _warmth(self, server: Server) -> float:
         """What part of its capacity a server has surely regained; its ramp is not told: take a line."""
         age = self.now - server.since_us
@@ -196,20 +183,10 @@
         return warmth >= 1 or r.draw < COLD_PART * warmth
 
     def _usable(self, server: Server, r: Open) -> bool:
-        """Serving, not shut, within the cold budget, and if suspect with no trial out."""
-        return (not server.gone and self.now >= server.shut_until and not (server.strikes and server.out)
-                and self._fits(server, r))
-
-    def _fits(self, server: Server, r: Open) -> bool:
-        return server.entry.server not in r.avoid and self.now >= server.full.get(r.ask.tenant, (0, 0))[0] and self._may_run(r, server) and self._budget(server, r)
-
-    def _pool(self, roles: tuple[i.Role, ...], r: Open) -> list[Server]:
-        """Servers of a role that may be sent to; when most look bad the cause is shared and none is shut."""
-        known = [s for s in self.servers.values() if s.role in roles and not s.gone]
-        good = [s for s in known if self._usable(s, r)]
-        if not good and 2 * sum(1 for s in known if s.strikes) > len(known):
-            good = [s for s in known if not s.down and self._fits(s, r)]
-        return good
+        """Serving, not shut (for the tenant), within the cold budget, and if suspect with no trial out."""
+        return (not server.gone and self.now >= max(server.shut_until, server.full.get(r.ask.tenant, (0, 0))[0])
+                and not (server.strikes and server.out) and server.entry.server not in r.avoid
+                and self._may_run(r, server) and self._budget(server, r))
 
     # --- reader choice
 
@@ -289,8 +266,8 @@
     def _writers(self, r: Open) -> list[Server]:
         """Writers with room: their known memory bounds what we give, an even part each router."""
         room = MEMORY_PART / self.set.instances
-        return [s for s in self._pool((i.Role.WRITE, i.Role.BOTH), r) if not s.memory or not s.streams
-                or s.held + r.ask.prompt_tokens <= room * s.memory]
+        return [s for s in self.servers.values() if s.role is not i.Role.READ and self._usable(s, r) and (
+            not s.memory or not s.streams or s.held + r.ask.prompt_tokens <= room * s.memory)]
 
     def _writer(self, r: Open) -> Server | None:
         """The writer with fewest of our streams for what it can do now; of the reader's cell if that has one.
@@ -440,9 +417,8 @@
         server, r = self.servers[event.server], self.open.get(event.request)
         status = event.status
         if status in (i.Status.READ, i.Status.SERVED):
-            server.sign_us, server.strikes = self.now, 0
+            server.strikes = 0
         elif status is i.Status.FULL and event.note == 0:
-            server.sign_us = self.now
             if r is not None:  # a server may turn one tenant away though it has room: only that one is kept off
                 times = server.full.get(r.ask.tenant, (0, 0))[1]
                 pause = max(BUSY_US, FULL_TIMES * event.latency_us) << min(times, FULL_DOUBLINGS)
@@ -536,9 +512,6 @@
     def _sweep(self) -> None:
         """Look at what waits and at what is overdue."""
         self.sweep_set = False
-        for server in self.servers.values():
-            if self.now >= server.shut_until and self._silent(server):
-                self._strike(server, "silent")
         for r in sorted(self.open.values(), key=lambda r: -r.cls.worth):  # the scarce room to the most worth
             if not r.out and r.ask.request in self.open:  # it waits
                 if self.now >= r.ask.expires_us - 2 * SWEEP_US:
