Shrink a cold server's part with the peers that are usable

Cause: with the warm writers full by our count, all that was drawn for cold ones came to two of them: 17 sends in 1.2 s. May harm when a restart leaves only cold servers in a cell: requests go farther.

--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -175,18 +175,19 @@
             return 1.0
         return self.set.start_capacity + (1 - self.set.start_capacity) * max(age, 0) / self.set.cold_us
 
-    def _budget(self, server: Server, r: Open) -> bool:
-        """Whether a request is among the part that a cold server can do: all routers together stay under it."""
+    def _fit(self, usable: list[Server], known: int, r: Open) -> list[Server]:
+        """Leave out what is cold, but for the part of the requests that it can do: all routers stay under it."""
         # A count of sends a span cannot be shared by routers that each have less than one; a part of the
         # requests can. One draw a request, whatever the server: else those that wait get through in the end.
-        warmth = self._warmth(server)
-        return warmth >= 1 or r.draw < COLD_PART * warmth
+        # With most others full or dead all would come to the cold ones, so the part shrinks with them.
+        part = COLD_PART * len(usable) / max(known, 1)
+        return [s for s in usable if (warmth := self._warmth(s)) >= 1 or r.draw < part * warmth]
 
     def _usable(self, server: Server, r: Open) -> bool:
-        """Serving, not shut (for the tenant), within the cold budget, and if suspect with no trial out."""
+        """Serving, not shut (for the tenant), and if suspect with no trial out."""
         return (not server.gone and self.now >= max(server.shut_until, server.full.get(r.ask.tenant, (0, 0))[0])
                 and not (server.strikes and server.out) and server.entry.server not in r.avoid
-                and self._may_run(r, server) and self._budget(server, r))
+                and self._may_run(r, server))
 
     # --- reader choice
 
@@ -250,10 +251,9 @@
         kept = max([r.ask.prefix_tokens, *(s.kept.get(r.ask.session or "", 0.0) for s in order[:1])])
         if kept > KEPT_PART * r.ask.prompt_tokens:  # a prompt that is new for the most part loses nothing elsewhere
             order = order[:wide + SPILL]
-        order = [s for s in order if self._usable(s, r)]
-        if not order:
-            return None
-        order = [s for s in order if self._late(s) <= LATE_AIM_PART * r.aim_us]
+        known = len(order)
+        order = [s for s in order if self._usable(s, r) and self._late(s) <= LATE_AIM_PART * r.aim_us]
+        order = self._fit(order, known, r)
         if not order:
             return None
         bound = AIM_PART_READER * r.aim_us * self._read_rate()
@@ -263,23 +263,27 @@
 
     # --- writer choice
 
-    def _writers(self, r: Open) -> list[Server]:
-        """Writers with room: their known memory bounds what we give, an even part each router."""
-        room = MEMORY_PART / self.set.instances
-        return [s for s in self.servers.values() if s.role is not i.Role.READ and self._usable(s, r) and (
-            not s.memory or not s.streams or s.held + r.ask.prompt_tokens <= room * s.memory)]
-
     def _writer(self, r: Open) -> Server | None:
         """The writer with fewest of our streams for what it can do now; of the reader's cell if that has one.
 
         Dividing by what it can do keeps a cold writer from being taken for the emptiest.
         """
-        free = self._writers(r)
+        room = MEMORY_PART / self.set.instances  # known memory bounds what we give, an even part each router
+        known = [s for s in self.servers.values() if s.role is not i.Role.READ and not s.gone]
+        free = [s for s in known if self._usable(s, r) and (
+            not s.memory or not s.streams or s.held + r.ask.prompt_tokens <= room * s.memory)]
         free = [s for s in free if s.entry.server not in r.asked] or free
-        cell = self._cell(r.reader.entry.cell) if r.reader is not None else None
-        near = [s for s in free if s.entry.cell == cell] or [
-            s for s in free if r.reader is not None and s.entry.cell == r.reader.entry.cell] or free
-        return min(near, key=lambda s: self._load(s) + self.random.expovariate(1) / s.entry.units) if near else None
+        home = r.reader.entry.cell if r.reader is not None else None
+        for cell in () if home is None else (self._cell(home), home):
+            near = self._fit([s for s in free if s.entry.cell == cell],
+                             sum(s.entry.cell == cell for s in known), r)
+            if near:
+                return self._least(near)
+        return self._least(self._fit(free, len(known), r))
+
+    def _least(self, writers: list[Server]) -> Server | None:  # of our streams; ties, the rule at size, by chance
+        return min(writers, key=lambda s: (s.streams + 1 + self.random.expovariate(1)) / max(
+            s.entry.units, 1e-9) / self._warmth(s), default=None)
 
     def _cell(self, home: int) -> int:
         """Where a state read in a cell is written: there, as far as the cell's part of the writers goes."""
@@ -291,9 +295,6 @@
         spare = {c: max(w - r, 0.0) for c, (r, w) in self.cells.items()}
         return self.random.choices(list(spare), list(spare.values()))[0] if sum(spare.values()) > 0 else home
 
-    def _load(self, server: Server) -> float:
-        return (server.streams + 1) / max(server.entry.units, 1e-9) / self._warmth(server)
-
     def _may_run(self, r: Open, server: Server) -> bool:
         """Whether an attempt that may take effect can go to this server."""
         if not r.ran_us or r.cls.effect is i.Effect.SAFE or server.role is i.Role.READ:
