--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -268,10 +268,8 @@
 
         Dividing by what it can do keeps a cold writer from being taken for the emptiest.
         """
-        room = MEMORY_PART / self.set.instances  # known memory bounds what we give, an even part each router
         known = [s for s in self.servers.values() if s.role is not i.Role.READ and not s.gone]
-        free = [s for s in known if self._usable(s, r) and (
-            not s.memory or not s.streams or s.held + r.ask.prompt_tokens <= room * s.memory)]
+        free = [s for s in known if self._usable(s, r)]
         free = [s for s in free if s.entry.server not in r.asked] or free
         home = r.reader.entry.cell if r.reader is not None else None
         for cell in () if home is None else (self._cell(home), home):
