--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -44,7 +44,6 @@
     gone: bool = False
     out: dict[tuple[int, int], int] = field(default_factory=dict)  # attempts without an answer yet: sent when
     tokens: float = 0.0  # own prompt tokens waiting at the reader
-    held: float = 0.0  # own tokens that take up the writer's memory
     streams: int = 0  # own answers and places at the writer
     strikes: int = 0
     shut_until: int = 0
@@ -103,6 +102,7 @@
         self.quotas = {t.name: t.quota_per_s for t in settings.tenants if settings.over_share_worth < 1}
         self.left: dict[str, tuple[float, int]] = {}  # what a tenant may still send, since when
         self.log_us = 0
+        self.held = 0.0  # own tokens that take up writers' memory
         self.sweep_set = False
         self.acts: list[i.Action] = []
 
@@ -269,6 +269,9 @@
         Dividing by what it can do keeps a cold writer from being taken for the emptiest.
         """
         known = [s for s in self.servers.values() if s.role is not i.Role.READ and not s.gone]
+        memory = sum(s.memory for s in known) / self.set.instances  # our even part: of each it is under one prompt
+        if self.held and self.held + r.ask.prompt_tokens > MEMORY_PART * memory > 0:
+            return None
         free = [s for s in known if self._usable(s, r)]
         free = [s for s in free if s.entry.server not in r.asked] or free
         home = r.reader.entry.cell if r.reader is not None else None
@@ -358,7 +361,7 @@
     def _take(self, r: Open, writer: Server, sign: int = 1) -> Server:
         """Count (or with -1 no longer count) a stream or place of ours at a writer."""
         writer.streams += sign
-        writer.held += sign * r.ask.prompt_tokens
+        self.held += sign * r.ask.prompt_tokens
         return writer
 
     def _unplace(self, r: Open) -> None:
