--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -269,8 +269,9 @@
         Dividing by what it can do keeps a cold writer from being taken for the emptiest.
         """
         known = [s for s in self.servers.values() if s.role is not i.Role.READ and not s.gone]
-        memory = sum(s.memory for s in known) / self.set.instances  # our even part: of each it is under one prompt
-        if self.held and self.held + r.ask.prompt_tokens > MEMORY_PART * memory > 0:
+        # Our even part of all (of each writer it may be under one prompt), and the margin of chance for few prompts.
+        memory, prompt = MEMORY_PART * sum(s.memory for s in known) / self.set.instances, r.ask.prompt_tokens
+        if self.held and self.held + prompt > memory + math.sqrt(memory * prompt) > 0:
             return None
         free = [s for s in known if self._usable(s, r)]
         free = [s for s in free if s.entry.server not in r.asked] or free
