--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -22,6 +22,8 @@
 WAIT_AIM_PART = 0.2  # part of the aim that may be spent waiting before the read; the rest is for the work
 COLD_PART = 0.8  # of the requests that a cold server is sent for what it can do: room for chance and repeats
 PULL_MOST = 1.25  # a reader in a cell with many writers gets at most so many times its even part of the keys
+SPARE_TIMES = 2.0  # our part of the writers' memory that we may use while no place is refused
+REFUSED_AIMS = 4.0  # for so many aims after a refusal writers count as full: at size a router hears of few
 MEMORY_PART = 0.9  # part of a writer's memory that counts as room; answers grow after they start
 SPREAD_TIMES = 1.5  # a reader's even part of all requests, so many times: what one key may bring to one reader
 KEY_SPAN_US = 30_000_000  # how long a key's part of the requests is remembered: a few seconds show a router little
@@ -102,6 +104,7 @@
         self.quotas = {t.name: t.quota_per_s for t in settings.tenants if settings.over_share_worth < 1}
         self.left: dict[str, tuple[float, int]] = {}  # what a tenant may still send, since when
         self.log_us = 0
+        self.refused_us = -(1 << 60)  # when a writer last had no place for us
         self.held = 0.0  # own tokens that take up writers' memory
         self.sweep_set = False
         self.acts: list[i.Action] = []
@@ -269,9 +272,11 @@
         Dividing by what it can do keeps a cold writer from being taken for the emptiest.
         """
         known = [s for s in self.servers.values() if s.role is not i.Role.READ and not s.gone]
-        # Our even part of all (of each writer it may be under one prompt), and the margin of chance for few prompts.
-        memory, prompt = MEMORY_PART * sum(s.memory for s in known) / self.set.instances, r.ask.prompt_tokens
-        if self.held and self.held + prompt > memory + math.sqrt(memory * prompt) > 0:
+        # Our even part of all (of each writer it may be under one prompt). While places are to be had, routers that
+        # carry more than their part, as when others died, may take more.
+        part = MEMORY_PART * sum(s.memory for s in known) / self.set.instances
+        part *= 1 if self.now - self.refused_us < REFUSED_AIMS * self.least_aim else SPARE_TIMES
+        if self.held and self.held + r.ask.prompt_tokens > part > 0:
             return None
         free = [s for s in known if self._usable(s, r)]
         free = [s for s in free if s.entry.server not in r.asked] or free
@@ -405,6 +410,7 @@
         elif isinstance(event, i.Note):
             if not event.held and r.place is not None:  # the note names the reader, not the writer
                 r.asked.add(r.place.entry.server)
+                self.refused_us = self.now
                 self._unplace(r)  # the one sure sign of a full writer: ask the next while the read goes on
                 writer = self._writer(r)
                 if writer is not None and len(r.asked) < PLACES_MOST and r.out:
