--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -12,8 +12,7 @@
 SWEEP_US = 20_000  # how often waiting requests and silent servers are looked at; far under any release time
 TRIAL_US = 250_000  # a suspect's first pause; doubled for each further failure, as its cause may last
 BUSY_US = 100_000  # a writer that was full gets none of the tenant's work for about the time of a few tokens
-FULL_TIMES = 20  # or for so many times what it took to say so: to ask must cost little of a tenant's time
-FULL_DOUBLINGS = 3  # so often that time doubles while it stays full
+FULL_TIMES = 20  # or so many times what it took to say so, and longer each time: to ask must cost little
 AIM_PART_READER = 0.25  # part of the aim our tokens may wait at a reader; past it at all, none
 SPILL = 1  # readers past those of its width that a key may be read at
 PLACES_MOST = 4  # writers asked for a place with one read; each asking costs what a probe costs
@@ -23,7 +22,6 @@
 COLD_PART = 0.8  # of the requests that a cold server is sent for what it can do: room for chance and repeats
 PULL_MOST = 1.25  # a reader in a cell with many writers gets at most so many times its even part of the keys
 SPARE_TIMES = 2.0  # our part of the writers' memory that we may use while no place is refused
-REFUSED_AIMS = 4.0  # for so many aims after a refusal writers count as full: at size a router hears of few
 MEMORY_PART = 0.9  # part of a writer's memory that counts as room; answers grow after they start
 SPREAD_TIMES = 1.5  # a reader's even part of all requests, so many times: what one key may bring to one reader
 KEY_SPAN_US = 30_000_000  # how long a key's part of the requests is remembered: a few seconds show a router little
@@ -32,7 +30,7 @@
 SMOOTH = 0.1  # weight of a new observation in every running mean
 LOG_US = 5_000_000  # at most one line on requests given up in so long
 SHARE_SPAN_S = 4.0  # a tenant may save up its share for so long: bursts are no excess
-SHORT_AIMS = 2.0  # room is short for so many aims after a request had to wait
+SHORT_AIMS = 4.0  # room is short for so many aims after a wait or a refused place: at size a router hears of few
 SWEEP_TOKEN = 1 << 40  # timer token of the sweep; request ids are under 2^32
 
 
@@ -47,10 +45,9 @@
     out: dict[tuple[int, int], int] = field(default_factory=dict)  # attempts without an answer yet: sent when
     tokens: float = 0.0  # own prompt tokens waiting at the reader
     streams: int = 0  # own answers and places at the writer
-    strikes: int = 0
+    strikes: int = 0  # failed connections since it last answered
     shut_until: int = 0
     full: dict[str | None, tuple[int, int]] = field(default_factory=dict)  # by tenant: shut until, times full
-    down: bool = False  # the last strike was a broken or failed connection: it is no sharer of a slowness
     since_us: int = 0  # when it last started, as listed or as its answer after failed connections shows
     late_us: float = 0.0  # how long a read there last took beyond its own reading, seen when
     late_at: int = 0
@@ -72,7 +69,6 @@
     out: dict[int, Server] = field(default_factory=dict)
     reader: Server | None = None  # holds the state, or is reading it
     place: Server | None = None  # writer where a place is asked or held
-    streaming: bool = False
     pinned_us: int = 0  # since when a state or place is held with no attempt out; 0 when none
     ran_us: int = 0  # when the first attempt that may have run was sent; 0 when none was
     ran_on: Server | None = None
@@ -92,10 +88,11 @@
         self.servers: dict[int, Server] = {}
         self.open: dict[int, Open] = {}
         self.orders: dict[str, list[Server]] = {}  # readers in a key's order; void when the list changes
+        self.pull: dict[int, float] = {}  # how readily a cell's readers draw keys
         self.cells: dict[int, tuple[float, float]] = {}  # a cell's part of the reads and of the writing
         self.keys: dict[str, float] = {}  # requests of a key, and in all, each halved as it ages
         self.keys_sum, self.keys_us = 0.0, 0
-        self.usual = {role: 0.0 for role in i.Role}  # running mean time of a sign: end of a read, first token
+        self.usual = 0.0  # running mean time of a read
         self.best_rate = 0.0  # tokens a microsecond that a reader read when nothing was in its way
         self.read_tokens = 0.0  # running mean of our tokens ahead of a read and its own
         self.least_aim = min(cls.aim_us for cls in settings.classes)
@@ -139,7 +136,7 @@
             known = self.servers.setdefault(entry.server, Server(
                 entry, kind.role, kind.memory_tokens, since_us=entry.up_since_us))
             if entry.up_since_us > known.entry.up_since_us:  # restarted: what we held against it is void
-                known.strikes, known.shut_until, known.down = 0, 0, False
+                known.strikes, known.shut_until = 0, 0
                 known.since_us = entry.up_since_us
                 known.kept.clear()
             known.entry, known.gone = entry, entry.state is not i.State.SERVING
@@ -163,16 +160,17 @@
             self.acts.append(i.Log(f"set aside {server.entry.server}: {why}"))
         server.shut_until = self.now + TRIAL_US * (1 << min(server.strikes - 1, 3))
 
-    def _learn(self, server: Server, latency_us: float) -> None:  # any sign shows that the server lives
-        if server.down:  # it restarted, and the list, seconds late, has not told yet
+    def _alive(self, server: Server, r: Open) -> None:
+        """An end of a read or a first token shows that the server lives and takes the tenant's work."""
+        if server.strikes:  # it restarted, and the list, seconds late, has not told yet
             server.since_us = self.now
-        server.strikes, server.down = 0, False
-        self.usual[server.role] += SMOOTH * (latency_us - self.usual[server.role])
+        server.strikes = 0
+        server.full.pop(r.ask.tenant, None)
 
     def _warmth(self, server: Server) -> float:
         """What part of its capacity a server has surely regained; its ramp is not told: take a line."""
         age = self.now - server.since_us
-        if server.strikes and server.down:  # it may be back, freshly started
+        if server.strikes:  # it may be back, freshly started
             return self.set.start_capacity
         if not server.since_us or age >= self.set.cold_us:
             return 1.0
@@ -200,7 +198,7 @@
         return max(r.ask.prompt_tokens - kept, 1.0)
 
     def _read_rate(self) -> float:  # tokens of ours a microsecond, whatever else the reader had to do
-        return self.read_tokens / max(self.usual[i.Role.READ], 1.0)
+        return self.read_tokens / max(self.usual, 1.0)
 
     def _late(self, server: Server) -> float:
         """How long a read has to wait there, by what we saw last: half of the time since has worked it off."""
@@ -217,9 +215,8 @@
         if key not in self.orders:
             if len(self.orders) >= KEPT_MOST:
                 self.orders.clear()
-            self.orders[key] = sorted(
-                (s for s in self.servers.values() if s.role is not i.Role.WRITE and not s.gone),
-                key=lambda s: self._rank(key, s))
+            self.orders[key] = sorted((s for s in self.servers.values() if s.role is not i.Role.WRITE and not s.gone),
+                                      key=lambda s: self._rank(key, s))
         return self.orders[key]
 
     def _rank(self, key: str, server: Server) -> float:
@@ -243,54 +240,46 @@
         self.keys_sum += 1
 
     def _reader(self, r: Open) -> Server | None:
-        """The first reader in the key's order that our waiting tokens leave under the bound."""
-        order = self._order(r.key)
-        wide = self._width(r.key)
+        """The first reader in the key's order that is not late and that our tokens leave under the bound."""
+        order, wide = self._order(r.key), self._width(r.key)
         if wide > 1:  # a session keeps to its reader among them, where its earlier turns are kept
-            near = self._order(r.key)[:wide]
-            order = sorted(near, key=lambda s: self._rank(r.ask.session or "", s)) + order[wide:]
+            order = sorted(order[:wide], key=lambda s: self._rank(r.ask.session or "", s)) + order[wide:]
+        order = [s for s in order if self._usable(s, r)]
         # A text read ever farther from its home fills every reader's memory: the fleet forgets all and jams.
-        order = [s for s in order if not s.down and not s.gone and self.now >= s.full.get(r.ask.tenant, (0, 0))[0]]
+        # A prompt that is new for the most part loses nothing elsewhere.
         kept = max([r.ask.prefix_tokens, *(s.kept.get(r.ask.session or "", 0.0) for s in order[:1])])
-        if kept > KEPT_PART * r.ask.prompt_tokens:  # a prompt that is new for the most part loses nothing elsewhere
+        if kept > KEPT_PART * r.ask.prompt_tokens:
             order = order[:wide + SPILL]
         known = len(order)
-        order = [s for s in order if self._usable(s, r) and self._late(s) <= LATE_AIM_PART * r.aim_us]
-        order = self._fit(order, known, r)
+        order = self._fit([s for s in order if self._late(s) <= LATE_AIM_PART * r.aim_us], known, r)
         if not order:
             return None
         bound = AIM_PART_READER * r.aim_us * self._read_rate()
-        if order[0].tokens + self._new(r, order[0]) > bound:
-            order.sort(key=lambda s: s.tokens + self._new(r, s))
-        return order[0] if not order[0].tokens or order[0].tokens + self._new(r, order[0]) <= bound else None
+        ahead = [s.tokens + self._new(r, s) for s in order]
+        best = 0 if ahead[0] <= bound else ahead.index(min(ahead))
+        return order[best] if not order[best].tokens or ahead[best] <= bound else None
 
     # --- writer choice
 
     def _writer(self, r: Open) -> Server | None:
-        """The writer with fewest of our streams for what it can do now; of the reader's cell if that has one.
-
-        Dividing by what it can do keeps a cold writer from being taken for the emptiest.
-        """
+        """The writer with fewest of our streams for what it can do now; of the reader's cell if that has one."""
+        # By what it can do now: a cold writer is not the emptiest. Ties, the rule at size, fall by chance.
         known = [s for s in self.servers.values() if s.role is not i.Role.READ and not s.gone]
         # Our even part of all (of each writer it may be under one prompt). While places are to be had, routers that
         # carry more than their part, as when others died, may take more.
         part = MEMORY_PART * sum(s.memory for s in known) / self.set.instances
-        part *= 1 if self.now - self.refused_us < REFUSED_AIMS * self.least_aim else SPARE_TIMES
+        part *= 1 if self.now - self.refused_us < SHORT_AIMS * self.least_aim else SPARE_TIMES
         if self.held and self.held + r.ask.prompt_tokens > part > 0:
             return None
         free = [s for s in known if self._usable(s, r)]
         free = [s for s in free if s.entry.server not in r.asked] or free
-        home = r.reader.entry.cell if r.reader is not None else None
-        for cell in () if home is None else (self._cell(home), home):
-            near = self._fit([s for s in free if s.entry.cell == cell],
-                             sum(s.entry.cell == cell for s in known), r)
-            if near:
-                return self._least(near)
-        return self._least(self._fit(free, len(known), r))
-
-    def _least(self, writers: list[Server]) -> Server | None:  # of our streams; ties, the rule at size, by chance
-        return min(writers, key=lambda s: (s.streams + 1 + self.random.expovariate(1)) / max(
-            s.entry.units, 1e-9) / self._warmth(s), default=None)
+        pools = [(free, len(known))]
+        if r.reader is not None:
+            for cell in (r.reader.entry.cell, self._cell(r.reader.entry.cell)):
+                pools.insert(0, ([s for s in free if s.entry.cell == cell], sum(s.entry.cell == cell for s in known)))
+        pool = next((fit for near, of in pools if (fit := self._fit(near, of, r))), [])
+        return min(pool, default=None, key=lambda s: (s.streams + 1 + self.random.expovariate(1)) / max(
+            s.entry.units, 1e-9) / self._warmth(s))
 
     def _cell(self, home: int) -> int:
         """Where a state read in a cell is written: there, as far as the cell's part of the writers goes."""
@@ -417,26 +406,22 @@
                     self._ask(r, writer)
         elif event.attempt in r.out:
             server = r.out[event.attempt]
-            server.full.pop(r.ask.tenant, None)
             server.out.pop((event.request, event.attempt), None)
-            self._learn(server, event.latency_us)
-            r.streaming, r.pinned_us = True, 0
+            self._alive(server, r)
+            r.pinned_us = 0
 
     def _outcome(self, event: i.Outcome) -> None:
         server, r = self.servers[event.server], self.open.get(event.request)
         status = event.status
-        if status in (i.Status.READ, i.Status.SERVED):
-            server.strikes = 0
-        elif status is i.Status.FULL and event.note == 0:
-            if r is not None:  # a server may turn one tenant away though it has room: only that one is kept off
-                times = server.full.get(r.ask.tenant, (0, 0))[1]
-                pause = max(BUSY_US, FULL_TIMES * event.latency_us) << min(times, FULL_DOUBLINGS)
-                server.full[r.ask.tenant] = self.now + pause, times + 1
+        if status is i.Status.FULL and event.note == 0 and r is not None:
+            # A server may turn one tenant away though it has room: it is shut for that one alone.
+            times = server.full.get(r.ask.tenant, (0, 0))[1]
+            pause = max(BUSY_US, FULL_TIMES * event.latency_us) * (times + 1)
+            server.full[r.ask.tenant] = self.now + pause, times + 1
         elif status in (i.Status.CONNECT_FAILED, i.Status.RESET):
             self._strike(server, status.value)
-            server.down = True
-        if server.role is i.Role.READ:
-            self._pace(server, event, r)
+        if status in (i.Status.FULL, i.Status.TIMEOUT) and server.role is i.Role.READ:
+            server.late_us, server.late_at = max(event.latency_us, self.least_aim), self.now
         if r is None:
             if status is i.Status.READ:  # read for a request that has ended: nothing may stay pinned
                 self.acts.append(i.Discard(event.request))
@@ -446,13 +431,8 @@
             return self._end(r, None)
         if read:
             if status is i.Status.READ:
-                server.full.pop(r.ask.tenant, None)
-                self._learn(server, event.latency_us)
-                if len(server.kept) > KEPT_MOST:
-                    server.kept.clear()
-                ask = r.ask
-                server.kept |= {ask.prefix or "": ask.prefix_tokens, ask.session or "": ask.prompt_tokens}
-                self.read_tokens += SMOOTH * (r.backlog - self.read_tokens)
+                self._alive(server, r)
+                self._learn(server, event, r)
                 r.pinned_us = self.now
                 return self._next(r)
             r.avoid.add(event.server)
@@ -470,16 +450,16 @@
         r.avoid.add(event.server)
         return self._next(r)
 
-    def _pace(self, server: Server, event: i.Outcome, r: Open | None) -> None:
-        """Learn from a read's end how long reads wait at this reader."""
-        tokens = max(r.ask.prompt_tokens - event.note, 1.0) if r is not None else 0.0
-        if event.status is i.Status.READ and r is not None:
-            self.best_rate = max(self.best_rate, tokens / max(event.latency_us, self.set.tick_us))
-        if event.status is i.Status.FULL:  # its queue is longer than anyone wants to wait
-            server.late_us, server.late_at = self.least_aim, self.now
-        elif event.status in (i.Status.READ, i.Status.TIMEOUT, i.Status.CANCELLED):
-            late = event.latency_us - tokens / max(self.best_rate, 1e-9)
-            server.late_us, server.late_at = max(late, 0.0), self.now
+    def _learn(self, server: Server, event: i.Outcome, r: Open) -> None:
+        """From the end of a read: what is kept there, how fast our tokens get through, how long reads wait."""
+        ask, tokens = r.ask, max(r.ask.prompt_tokens - event.note, 1.0)
+        if len(server.kept) > KEPT_MOST:
+            server.kept.clear()
+        server.kept |= {ask.prefix or "": ask.prefix_tokens, ask.session or "": ask.prompt_tokens}
+        self.usual += SMOOTH * (event.latency_us - self.usual)
+        self.read_tokens += SMOOTH * (r.backlog - self.read_tokens)
+        self.best_rate = max(self.best_rate, tokens / max(event.latency_us, self.set.tick_us))
+        server.late_us, server.late_at = event.latency_us - tokens / self.best_rate, self.now
 
     def _drop_held(self, r: Open) -> None:
         """Let go of every state and place: nothing stays pinned, whatever led here."""
@@ -512,8 +492,9 @@
         self.seen = self.seen * max(1 - past / SHARE_SPAN_S, 0.0) + 1 / SHARE_SPAN_S
         quota = self.quotas.get(tenant, 0.0)
         rate = quota * max(1 / self.set.instances, self.seen / max(sum(self.quotas.values()), 1e-9))
-        left, at = self.left.get(tenant, (rate, self.now))
-        left = min(left + rate * (self.now - at) / 1e6, rate * SHARE_SPAN_S)
+        most = max(rate * SHARE_SPAN_S, 1.0)  # at size a small tenant has less than one request in the span
+        left, at = self.left.get(tenant, (most, self.now))
+        left = min(left + rate * (self.now - at) / 1e6, most)
         over = quota > 0 and left < 1
         self.left[tenant] = (left if over else left - 1), self.now
         return over
