--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -26,7 +26,7 @@
 SPREAD_TIMES = 1.5  # a reader's even part of all requests, so many times: what one key may bring to one reader
 KEY_SPAN_US = 30_000_000  # how long a key's part of the requests is remembered: a few seconds show a router little
 PULL_ROUNDS = 8  # in which the parts of the cells come to add up to one
-KEPT_MOST = 10_000  # texts remembered a reader: memory of ours has to end somewhere
+KEPT_MOST = 10_000  # keys remembered: memory of ours has to end somewhere
 SMOOTH = 0.1  # weight of a new observation in every running mean
 LOG_US = 5_000_000  # at most one line on requests given up in so long
 SHARE_SPAN_S = 4.0  # a tenant may save up its share for so long: bursts are no excess
@@ -51,7 +51,6 @@
     since_us: int = 0  # when it last started, as listed or as its answer after failed connections shows
     late_us: float = 0.0  # how long a read there last took beyond its own reading, seen when
     late_at: int = 0
-    kept: dict[str, float] = field(default_factory=dict)  # texts it has read for us: tokens
 
 
 @dataclass(slots=True)
@@ -62,6 +61,7 @@
     cls: i.RequestClass
     aim_us: float
     key: str  # by which its reader is chosen
+    new: float  # prompt tokens beyond the shared beginning, which its home has kept
     draw: float  # from 0 to 1: which part of the requests it belongs to
     backlog: float = 0.0  # our tokens at the reader when it was sent there
     waits_us: int = 0  # since when it waits
@@ -70,8 +70,7 @@
     reader: Server | None = None  # holds the state, or is reading it
     place: Server | None = None  # writer where a place is asked or held
     pinned_us: int = 0  # since when a state or place is held with no attempt out; 0 when none
-    ran_us: int = 0  # when the first attempt that may have run was sent; 0 when none was
-    ran_on: Server | None = None
+    ran: bool = False  # an attempt at a writer may have run
     avoid: set[int] = field(default_factory=set)
     asked: set[int] = field(default_factory=set)  # writers that had no place for it
     reads: dict[int, float] = field(default_factory=dict)  # attempts that read: tokens counted at the reader
@@ -138,7 +137,6 @@
             if entry.up_since_us > known.entry.up_since_us:  # restarted: what we held against it is void
                 known.strikes, known.shut_until = 0, 0
                 known.since_us = entry.up_since_us
-                known.kept.clear()
             known.entry, known.gone = entry, entry.state is not i.State.SERVING
         if event.list_kind in (i.ListKind.COMPLETE, i.ListKind.STALE):
             for number, server in self.servers.items():
@@ -187,16 +185,10 @@
     def _usable(self, server: Server, r: Open) -> bool:
         """Serving, not shut (for the tenant), and if suspect with no trial out."""
         return (not server.gone and self.now >= max(server.shut_until, server.full.get(r.ask.tenant, (0, 0))[0])
-                and not (server.strikes and server.out) and server.entry.server not in r.avoid
-                and self._may_run(r, server))
+                and not (server.strikes and server.out) and server.entry.server not in r.avoid)
 
     # --- reader choice
 
-    def _new(self, r: Open, server: Server) -> float:
-        """Prompt tokens that the reader must read: all but what it has read for us before."""
-        kept = max(server.kept.get(r.ask.prefix or "", 0.0), server.kept.get(r.ask.session or "", 0.0))
-        return max(r.ask.prompt_tokens - kept, 1.0)
-
     def _read_rate(self) -> float:  # tokens of ours a microsecond, whatever else the reader had to do
         return self.read_tokens / max(self.usual, 1.0)
 
@@ -208,7 +200,7 @@
         if not server.out:
             return seen
         (number, _), sent = next(iter(server.out.items()))
-        return max(seen, self.now - sent - self._new(self.open[number], server) / max(self.best_rate, 1e-9))
+        return max(seen, self.now - sent - self.open[number].new / max(self.best_rate, 1e-9))
 
     def _order(self, key: str) -> list[Server]:
         """Readers in the key's order, the same at every router; kept, since ranking a fleet is dear."""
@@ -247,15 +239,14 @@
         order = [s for s in order if self._usable(s, r)]
         # A text read ever farther from its home fills every reader's memory: the fleet forgets all and jams.
         # A prompt that is new for the most part loses nothing elsewhere.
-        kept = max([r.ask.prefix_tokens, *(s.kept.get(r.ask.session or "", 0.0) for s in order[:1])])
-        if kept > KEPT_PART * r.ask.prompt_tokens:
+        if r.ask.prefix_tokens > KEPT_PART * r.ask.prompt_tokens:
             order = order[:wide + SPILL]
         known = len(order)
         order = self._fit([s for s in order if self._late(s) <= LATE_AIM_PART * r.aim_us], known, r)
         if not order:
             return None
         bound = AIM_PART_READER * r.aim_us * self._read_rate()
-        ahead = [s.tokens + self._new(r, s) for s in order]
+        ahead = [s.tokens + r.new for s in order]
         best = 0 if ahead[0] <= bound else ahead.index(min(ahead))
         return order[best] if not order[best].tokens or ahead[best] <= bound else None
 
@@ -291,22 +282,13 @@
         spare = {c: max(w - r, 0.0) for c, (r, w) in self.cells.items()}
         return self.random.choices(list(spare), list(spare.values()))[0] if sum(spare.values()) > 0 else home
 
-    def _may_run(self, r: Open, server: Server) -> bool:
-        """Whether an attempt that may take effect can go to this server."""
-        if not r.ran_us or r.cls.effect is i.Effect.SAFE or server.role is i.Role.READ:
-            return True
-        if r.cls.effect is i.Effect.UNSAFE or r.ran_on is None or self.now >= r.ran_us + r.cls.window_us:
-            return False
-        one, two = server.entry, r.ran_on.entry
-        same = {"all": True, "zone": one.zone == two.zone, "cell": one.cell == two.cell}
-        return same.get(r.cls.group, False)
-
     # --- request life cycle
 
     def _arrive(self, ask: i.Request) -> None:
         cls = self.classes[ask.cls]
         aim = cls.aim_us + cls.aim_us_per_1000_prompt_tokens * ask.prompt_tokens / 1000
-        r = self.open[ask.request] = Open(ask, cls, aim, ask.prefix or ask.session or str(ask.request), self.random.random())
+        r = self.open[ask.request] = Open(ask, cls, aim, ask.prefix or ask.session or str(ask.request),
+                                       max(ask.prompt_tokens - ask.prefix_tokens, 1.0), self.random.random())
         self._count_key(r.key)
         short = self.now - self.short_us < SHORT_AIMS * self.least_aim
         return self._end(r, "share") if self._over_share(ask.tenant or "") and short else self._start(r)
@@ -333,10 +315,9 @@
         if reader is None:
             none = not any(s.role is not i.Role.WRITE and not s.gone for s in self.servers.values())
             return self._write(r, writer) if self.set.writers_read and none else self._wait(r)
-        new = self._new(r, reader)
-        reader.tokens += new
+        reader.tokens += r.new
         r.backlog = reader.tokens
-        self._send(r, reader, new)
+        self._send(r, reader, r.new)
         if self.set.ahead:
             self._ask(r, writer)
         return None
@@ -439,9 +420,8 @@
             self._drop_held(r)
             return self._start(r)
         if status not in (i.Status.CONNECT_FAILED, i.Status.FULL, i.Status.MOOT):  # it may have run
-            if not r.ran_us:
-                r.ran_us, r.ran_on = self.now - event.latency_us, server
-            if r.cls.effect is i.Effect.UNSAFE:
+            r.ran = True
+            if r.cls.effect is not i.Effect.SAFE:  # a keyed one could go again within its group: not worth the risk
                 return self._end(r, "fail")
         if event.note == 1 and status is i.Status.FULL or r.reader is None:  # no state is left: read again
             self._drop_held(r)
@@ -451,11 +431,8 @@
         return self._next(r)
 
     def _learn(self, server: Server, event: i.Outcome, r: Open) -> None:
-        """From the end of a read: what is kept there, how fast our tokens get through, how long reads wait."""
-        ask, tokens = r.ask, max(r.ask.prompt_tokens - event.note, 1.0)
-        if len(server.kept) > KEPT_MOST:
-            server.kept.clear()
-        server.kept |= {ask.prefix or "": ask.prefix_tokens, ask.session or "": ask.prompt_tokens}
+        """From the end of a read: how fast our tokens get through, how long reads wait there."""
+        tokens = max(r.ask.prompt_tokens - event.note, 1.0)
         self.usual += SMOOTH * (event.latency_us - self.usual)
         self.read_tokens += SMOOTH * (r.backlog - self.read_tokens)
         self.best_rate = max(self.best_rate, tokens / max(event.latency_us, self.set.tick_us))
@@ -470,15 +447,14 @@
     def _end(self, r: Open, why: str | None) -> None:
         """The one exit: answers, releases what is held, forgets."""
         for seq in list(r.out):
-            r.ran_us = r.ran_us or (0 if self._uncount(r, seq) else self.now)
+            r.ran = not self._uncount(r, seq) or r.ran
             if self.set.cancel:
                 self.acts.append(i.Cancel(r.ask.request, seq))
         if why is not None:
             if self.now >= self.log_us:
                 self.log_us = self.now + LOG_US
                 self.acts.append(i.Log(f"giving up requests: {why}"))
-            harmless = not r.ran_us or (
-                r.cls.effect is i.Effect.SAFE or (r.cls.effect is i.Effect.KEYED and r.cls.group == "all"))
+            harmless = not r.ran or r.cls.effect is i.Effect.SAFE
             wait = self.set.max_retry_after_us if self.set.retry_after else 0
             self.acts.append(i.Refuse(r.ask.request, wait) if harmless else i.Fail(r.ask.request))
         self._drop_held(r)
