--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -88,6 +88,7 @@
         self.open: dict[int, Open] = {}
         self.orders: dict[str, list[Server]] = {}  # readers in a key's order; void when the list changes
         self.pull: dict[int, float] = {}  # how readily a cell's readers draw keys
+        self.spare: list[float] = []  # what part of the writing each cell has to spare
         self.cells: dict[int, tuple[float, float]] = {}  # a cell's part of the reads and of the writing
         self.keys: dict[str, float] = {}  # requests of a key, and in all, each halved as it ages
         self.keys_sum, self.keys_us = 0.0, 0
@@ -157,6 +158,7 @@
             self.pull = {c: min(scale * w / r, PULL_MOST) for c, (r, w) in parts.items()}
             scale /= max(sum(r * self.pull[c] for c, (r, _) in parts.items()), 1e-9)
         self.cells = {c: (r * self.pull[c], w) for c, (r, w) in parts.items()}
+        self.spare = [max(w - r, 0.0) for r, w in self.cells.values()]
 
     def _strike(self, server: Server, why: str) -> None:  # pause it, then let single trials through
         server.strikes += 1
@@ -164,8 +166,7 @@
             self.acts.append(i.Log(f"set aside {server.entry.server}: {why}"))
         server.shut_until = self.now + TRIAL_US * (1 << min(server.strikes - 1, 3))
 
-    def _alive(self, server: Server, r: Open) -> None:
-        """An end of a read or a first token shows that the server lives and takes the tenant's work."""
+    def _alive(self, server: Server, r: Open) -> None:  # it lives and takes the tenant's work
         if server.strikes:  # it restarted, and the list, seconds late, has not told yet
             server.since_us = self.now
         server.strikes = 0
@@ -232,6 +233,7 @@
     def _reader(self, r: Open) -> Server | None:
         """The first reader in the key's order that is not late and that our tokens leave under the bound."""
         order, wide = self._order(r.key), self._width(r.key)
+        wide = 1
         if wide > 1:  # a session keeps to its reader among them, where its earlier turns are kept
             order = sorted(order[:wide], key=lambda s: self._rank(r.ask.session or "", s)) + order[wide:]
         order = [s for s in order if self._usable(s, r)]
@@ -239,8 +241,8 @@
         # A prompt that is new for the most part loses nothing elsewhere.
         if r.ask.prefix_tokens > KEPT_PART * r.ask.prompt_tokens:
             order = order[:wide + SPILL]
-        known = len(order)
-        order = self._fit([s for s in order if self._late(s) <= LATE_AIM_PART * r.aim_us], known, r)
+        timely = [s for s in order if self._late(s) <= LATE_AIM_PART * r.aim_us]
+        order = self._fit(timely, len(order), r)
         if not order:
             return None
         bound = AIM_PART_READER * r.aim_us * self.read_tokens / max(self.usual, 1.0)  # as fast as ours get through
@@ -278,10 +280,8 @@
         # A cell with many readers and few writers fills those while others idle, and no router among many
         # sees it from its own streams; the list tells each of them the same parts.
         read, write = self.cells[home]
-        if self.random.random() * read <= write:
-            return home
-        spare = {c: max(w - r, 0.0) for c, (r, w) in self.cells.items()}
-        return self.random.choices(list(spare), list(spare.values()))[0] if sum(spare.values()) > 0 else home
+        away = self.random.random() * read > write and any(self.spare)
+        return self.random.choices(list(self.cells), self.spare)[0] if away else home
 
     # --- request life cycle
 
@@ -302,19 +302,16 @@
 
     def _start(self, r: Open) -> None:
         """Begin to read: the reader of the prefix hash, and with the read a place at its cell's writer."""
-        r.reader = None
         if r.attempts + 2 > self.set.max_attempts or self.now >= r.ask.expires_us - self.set.tick_us:
             return self._end(r, "time")
-        reader = self._reader(r)
+        r.reader = reader = self._reader(r)
         if reader is not None and reader.role is i.Role.BOTH:
             return self._write(r, reader)  # a mixed server takes its share whole
-        r.reader = reader
         writer = self._writer(r)
-        if writer is None:
+        if writer is not None and reader is None and self.set.writers_read and not any(self._order(r.key)):
+            return self._write(r, writer)
+        if writer is None or reader is None:
             return self._wait(r)
-        if reader is None:
-            none = not any(s.role is not i.Role.WRITE and not s.gone for s in self.servers.values())
-            return self._write(r, writer) if self.set.writers_read and none else self._wait(r)
         reader.tokens += r.new
         r.backlog = reader.tokens
         self._send(r, reader)
@@ -323,30 +320,25 @@
         return None
 
     def _ask(self, r: Open, writer: Server) -> None:
-        r.place = self._take(r, writer)
+        r.place = writer
+        self._take(r, writer, 1)
         self.acts.append(i.Ahead(r.ask.request, writer.entry.server))
 
     def _write(self, r: Open, server: Server) -> None:
-        """Send to a writer (or a mixed server)."""
-        if r.place is not server:
-            self._unplace(r)
-            self._take(r, server)
-        r.place = None
+        self._unplace(r)
+        self._take(r, server, 1)
         self._send(r, server)
 
-    def _take(self, r: Open, writer: Server, sign: int = 1) -> Server:
-        """Count (or with -1 no longer count) a stream or place of ours at a writer."""
+    def _take(self, r: Open, writer: Server, sign: int) -> None:  # count a stream or place of ours
         writer.streams += sign
         self.held += sign * r.ask.prompt_tokens
-        return writer
 
     def _unplace(self, r: Open) -> None:
         if r.place is not None:
             self._take(r, r.place, -1)
             r.place = None
 
-    def _uncount(self, r: Open, seq: int) -> bool:
-        """An attempt is over; tells whether it was a read."""
+    def _uncount(self, r: Open, seq: int) -> bool:  # an attempt is over; was it a read?
         server = r.out.pop(seq)
         server.out.pop((r.ask.request, seq), None)
         if server.role is i.Role.READ:
@@ -368,29 +360,26 @@
         return self._wait(r)
 
     def _wait(self, r: Open) -> None:
-        """Every writer is full, or no reader is there: wait before the read, for a bounded time."""
+        """Writers are full or the readers late: wait before the read, for a bounded time."""
         r.waits_us = r.waits_us or self.now
         self.short_us = self.now
         if self.now >= r.ask.expires_us - 2 * SWEEP_US:
             self._end(r, "time")
 
     def _heard(self, r: Open, event: i.First | i.Note | i.Hangup) -> None:
-        """News of a request in between: its client left, its place is not to be had, its answer has begun."""
         if isinstance(event, i.Hangup):
             self._end(r, None)
-        elif isinstance(event, i.Note):
-            if not event.held and r.place is not None:  # the note names the reader, not the writer
-                r.asked.add(r.place.entry.server)
-                self.refused_us = self.now
-                self._unplace(r)  # the one sure sign of a full writer: ask the next while the read goes on
-                writer = self._writer(r)
-                if writer is not None and len(r.asked) < PLACES_MOST and r.out:
-                    self._ask(r, writer)
-        elif event.attempt in r.out:
-            server = r.out[event.attempt]
-            server.out.pop((event.request, event.attempt), None)
-            self._alive(server, r)
+        elif isinstance(event, i.First) and event.attempt in r.out:
+            r.out[event.attempt].out.pop((event.request, event.attempt), None)
+            self._alive(r.out[event.attempt], r)
             r.pinned_us = 0
+        elif isinstance(event, i.Note) and not event.held and r.place is not None:
+            # The one sure sign of a full writer: ask the next while the read goes on. (The note names the reader.)
+            r.asked.add(r.place.entry.server)
+            self.refused_us = self.now
+            self._unplace(r)
+            if len(r.asked) < PLACES_MOST and r.out and (writer := self._writer(r)) is not None:
+                self._ask(r, writer)
 
     def _outcome(self, event: i.Outcome) -> None:
         server, r = self.servers[event.server], self.open.get(event.request)
@@ -477,17 +466,17 @@
         return over
 
     def _sweep(self) -> None:
-        """Look at what waits and at what is overdue."""
         self.sweep_set = False
         for r in sorted(self.open.values(), key=lambda r: -r.cls.worth):  # the scarce room to the most worth
-            if not r.out and r.ask.request in self.open:  # it waits
-                if self.now >= r.ask.expires_us - 2 * SWEEP_US:
-                    self._end(r, "time")
-                elif r.pinned_us and self.now - r.pinned_us < self.set.release_us / 2:
-                    self._next(r)
-                elif self.now - r.waits_us > WAIT_AIM_PART * r.aim_us:
-                    self._end(r, "late")
-                else:
-                    if r.pinned_us:
-                        self._drop_held(r)
-                    self._start(r)
+            if r.out or r.ask.request not in self.open:
+                continue
+            if self.now >= r.ask.expires_us - 2 * SWEEP_US:
+                self._end(r, "time")
+            elif r.pinned_us and self.now - r.pinned_us < self.set.release_us / 2:
+                self._next(r)
+            elif self.now - r.waits_us > WAIT_AIM_PART * r.aim_us:
+                self._end(r, "late")
+            else:
+                if r.pinned_us:
+                    self._drop_held(r)
+                self._start(r)
