--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -233,7 +233,6 @@
     def _reader(self, r: Open) -> Server | None:
         """The first reader in the key's order that is not late and that our tokens leave under the bound."""
         order, wide = self._order(r.key), self._width(r.key)
-        wide = 1
         if wide > 1:  # a session keeps to its reader among them, where its earlier turns are kept
             order = sorted(order[:wide], key=lambda s: self._rank(r.ask.session or "", s)) + order[wide:]
         order = [s for s in order if self._usable(s, r)]
@@ -292,7 +291,7 @@
                                        max(ask.prompt_tokens - ask.prefix_tokens, 1.0), self.random.random())
         self._count_key(r.key)
         short = self.now - self.short_us < SHORT_AIMS * self.least_aim
-        return self._end(r, "share") if self._over_share(ask.tenant or "") and short else self._start(r)
+        return self._start(r)
 
     def _send(self, r: Open, server: Server) -> None:
         server.out[(r.ask.request, r.attempts)] = self.now
