--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -23,14 +23,13 @@
 PULL_MOST = 1.25  # a reader in a cell with many writers gets at most so many times its even part of the keys
 SPARE_TIMES = 2.0  # our part of the writers' memory that we may use while no place is refused
 MEMORY_PART = 0.9  # part of a writer's memory that counts as room; answers grow after they start
-SPREAD_TIMES = 1.5  # a reader's even part of all requests, so many times: what one key may bring to one reader
-KEY_SPAN_US = 30_000_000  # how long a key's part of the requests is remembered: a few seconds show a router little
+SPREAD_TIMES = 1.5  # one key may bring a reader so many times its even part of all requests
+KEY_SPAN_US = 30_000_000  # how long a key is counted: a few seconds show a router little
 PULL_ROUNDS = 8  # in which the parts of the cells come to add up to one
 KEYS_MOST = 10_000  # keys counted and ordered: memory has to end somewhere
 SMOOTH = 0.1  # weight of a new observation in every running mean
 LOG_US = 5_000_000  # at most one line on requests given up in so long
-SHARE_SPAN_S = 4.0  # a tenant may save up its share for so long: bursts are no excess
-SHORT_AIMS = 4.0  # room is short for so many aims after a wait or a refused place: at size a router hears of few
+SHORT_AIMS = 4.0  # so many aims after a refused place writers count as full: a router hears of few
 LONG_AGO_US = -(1 << 60)  # before any time of the clock
 SWEEP_TOKEN = 1 << 40  # timer token of the sweep; request ids are under 2^32
 
@@ -90,16 +89,12 @@
         self.pull: dict[int, float] = {}  # how readily a cell's readers draw keys
         self.spare: list[float] = []  # what part of the writing each cell has to spare
         self.cells: dict[int, tuple[float, float]] = {}  # a cell's part of the reads and of the writing
-        self.keys: dict[str, float] = {}  # requests of a key, and in all, each halved as it ages
+        self.keys: dict[str, float] = {}  # requests of a key; in all; since when
         self.keys_sum, self.keys_us = 0.0, 0
         self.usual = 0.0  # running mean time of a read
         self.best_rate = 0.0  # tokens a microsecond that a reader read when nothing was in its way
         self.read_tokens = 0.0  # running mean of our tokens ahead of a read and its own
         self.least_aim = min(cls.aim_us for cls in settings.classes)
-        self.short_us = LONG_AGO_US  # when a request last had to wait
-        self.seen, self.seen_us = 0.0, 0  # requests a second that come here
-        self.quotas = {t.name: t.quota_per_s for t in settings.tenants if settings.over_share_worth < 1}
-        self.left: dict[str, tuple[float, int]] = {}  # what a tenant may still send, since when
         self.log_us = 0
         self.refused_us = LONG_AGO_US  # when a writer last had no place for us
         self.held = 0.0  # own tokens that take up writers' memory
@@ -107,7 +102,6 @@
         self.acts: list[i.Action] = []
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
-        """Decide on one event."""
         self.now, self.acts = now_us, []
         match event:
             case i.Members():
@@ -179,24 +173,23 @@
         return start + (1 - start) * min(max(age, 0) / max(self.set.cold_us, 1), 1.0)
 
     def _fit(self, usable: list[Server], known: int, r: Open) -> list[Server]:
-        """Leave out what is cold, but for the part of the requests that it can do: all routers stay under it."""
-        # A count of sends a span cannot be shared by routers that each have less than one; a part of the
-        # requests can. One draw a request, whatever the server: else those that wait get through in the end.
-        # With most others full or dead all would come to the cold ones, so the part shrinks with them.
+        """Leave out what is cold, but for the part of the requests that it can do."""
+        # Routers with less than one send a span cannot share a count. One draw a request: else all that wait
+        # get through in the end. With most others full or dead all would come to the cold: the part shrinks.
         part = COLD_PART * len(usable) / max(known, 1)
         return [s for s in usable if (warmth := self._warmth(s)) >= 1 or r.draw < part * warmth]
 
     def _usable(self, server: Server, r: Open) -> bool:
         """Serving, not shut (for the tenant), and if suspect with no trial out."""
-        return (not server.gone and self.now >= max(server.shut_until, server.full.get(r.ask.tenant, (0, 0))[0])
+        shut = max(server.shut_until, server.full.get(r.ask.tenant, (0, 0))[0])
+        return (not server.gone and self.now >= shut
                 and not (server.strikes and server.out) and server.entry.server not in r.avoid)
 
     # --- reader choice
 
     def _late(self, server: Server) -> float:
-        """How long a read has to wait there, by what we saw last: half of the time since has worked it off."""
-        # Own tokens say nothing where many routers fill a reader: reads that came too late were sent all the
-        # same, read in vain and repeated, and the jam outlived its cause by minutes.
+        """How long a read waits there, by what we saw last: half of the time since has worked it off."""
+        # Where many routers fill a reader, reads came late, were repeated, and the jam outlived its cause.
         late = server.late_us - (self.now - server.late_at) / 2
         for (number, _), sent in list(server.out.items())[:1]:  # the oldest that is out may be later still
             late = max(late, self.now - sent - self.open[number].new / max(self.best_rate, 1e-9))
@@ -210,7 +203,7 @@
         return self.orders[key]
 
     def _rank(self, key: str, server: Server) -> float:
-        """Weighted rendezvous hash: a cell draws keys by its readers, less where it has few writers for them."""
+        """Weighted rendezvous hash: a cell draws keys by its readers, less where it has few writers."""
         digest = blake2b(f"{key} {server.entry.server}".encode(), digest_size=6).digest()
         weight = server.entry.units * max(self.pull[server.entry.cell], 1e-9)
         return -math.log((int.from_bytes(digest) + 1) / (1 << 48)) / weight
@@ -222,7 +215,7 @@
         part = self.keys.get(key, 0.0) / max(self.keys_sum, 1.0)
         return max(1, math.ceil(part * len(self._order(key)) / SPREAD_TIMES))
 
-    def _count_key(self, key: str) -> None:
+    def _count_key(self, key: str) -> None:  # its requests, halved as they age
         if self.now - self.keys_us > KEY_SPAN_US / 2 or len(self.keys) > KEYS_MOST:
             self.keys = {k: n / 2 for k, n in self.keys.items() if n > 0.25 and len(self.keys) <= KEYS_MOST}
             self.orders.clear()
@@ -236,15 +229,14 @@
         if wide > 1:  # a session keeps to its reader among them, where its earlier turns are kept
             order = sorted(order[:wide], key=lambda s: self._rank(r.ask.session or "", s)) + order[wide:]
         order = [s for s in order if self._usable(s, r)]
-        # A text read ever farther from its home fills every reader's memory: the fleet forgets all and jams.
-        # A prompt that is new for the most part loses nothing elsewhere.
+        # Texts read ever farther from home make all forget all; a prompt that is mostly new loses nothing.
         if r.ask.prefix_tokens > KEPT_PART * r.ask.prompt_tokens:
             order = order[:wide + SPILL]
         timely = [s for s in order if self._late(s) <= LATE_AIM_PART * r.aim_us]
         order = self._fit(timely, len(order), r)
         if not order:
             return None
-        bound = AIM_PART_READER * r.aim_us * self.read_tokens / max(self.usual, 1.0)  # as fast as ours get through
+        bound = AIM_PART_READER * r.aim_us * self.read_tokens / max(self.usual, 1.0)
         ahead = [s.tokens + r.new for s in order]
         best = 0 if ahead[0] <= bound else ahead.index(min(ahead))
         return order[best] if not order[best].tokens or ahead[best] <= bound else None
@@ -254,8 +246,7 @@
     def _writer(self, r: Open) -> Server | None:
         """The writer with fewest of our streams, of the reader's cell if that has one."""
         known = [s for s in self.servers.values() if s.role is not i.Role.READ and not s.gone]
-        # Our even part of all (of each writer it may be under one prompt). While places are to be had, routers that
-        # carry more than their part, as when others died, may take more.
+        # Our even part of all: of each writer it may be under one prompt. Where others died we carry more.
         part = MEMORY_PART * sum(s.memory for s in known) / self.set.instances
         part *= 1 if self.now - self.refused_us < SHORT_AIMS * self.least_aim else SPARE_TIMES
         if self.held and self.held + r.ask.prompt_tokens > part > 0:
@@ -268,7 +259,7 @@
         return self._least(known, r)
 
     def _least(self, known: list[Server], r: Open) -> Server | None:
-        """The one with fewest of our streams for what it can do now (a cold one is not the emptiest); ties by chance."""
+        """Fewest of our streams for what it can do now (a cold one is not the emptiest); ties by chance."""
         usable = [s for s in known if self._usable(s, r) and s.entry.server not in r.asked]
         fit = self._fit(usable, len(known), r)
         loads = [(s.streams + 1 + self.random.expovariate(1)) / s.entry.units / self._warmth(s) for s in fit]
@@ -276,8 +267,7 @@
 
     def _cell(self, home: int) -> int:
         """Where a state read in a cell is written: there, as far as the cell's part of the writers goes."""
-        # A cell with many readers and few writers fills those while others idle, and no router among many
-        # sees it from its own streams; the list tells each of them the same parts.
+        # Else a cell's few writers fill while others idle, and no router sees it from its own streams.
         read, write = self.cells[home]
         away = self.random.random() * read > write and any(self.spare)
         return self.random.choices(list(self.cells), self.spare)[0] if away else home
@@ -290,8 +280,7 @@
         r = self.open[ask.request] = Open(ask, cls, aim, ask.prefix or ask.session or str(ask.request),
                                        max(ask.prompt_tokens - ask.prefix_tokens, 1.0), self.random.random())
         self._count_key(r.key)
-        short = self.now - self.short_us < SHORT_AIMS * self.least_aim
-        return self._start(r)
+        self._start(r)
 
     def _send(self, r: Open, server: Server) -> None:
         server.out[(r.ask.request, r.attempts)] = self.now
@@ -358,10 +347,8 @@
         r.pinned_us = r.pinned_us or self.now
         return self._wait(r)
 
-    def _wait(self, r: Open) -> None:
-        """Writers are full or the readers late: wait before the read, for a bounded time."""
+    def _wait(self, r: Open) -> None:  # writers are full or readers late: for a bounded time
         r.waits_us = r.waits_us or self.now
-        self.short_us = self.now
         if self.now >= r.ask.expires_us - 2 * SWEEP_US:
             self._end(r, "time")
 
@@ -373,7 +360,7 @@
             self._alive(r.out[event.attempt], r)
             r.pinned_us = 0
         elif isinstance(event, i.Note) and not event.held and r.place is not None:
-            # The one sure sign of a full writer: ask the next while the read goes on. (The note names the reader.)
+            # The one sure sign of a full writer: ask the next during the read. (The note names the reader.)
             r.asked.add(r.place.entry.server)
             self.refused_us = self.now
             self._unplace(r)
@@ -410,7 +397,7 @@
             return self._start(r)
         if status not in (i.Status.CONNECT_FAILED, i.Status.FULL, i.Status.MOOT):  # it may have run
             r.ran = True
-            if r.cls.effect is not i.Effect.SAFE:  # a keyed one could go again within its group: not worth the risk
+            if r.cls.effect is not i.Effect.SAFE:  # keyed ones neither: not worth the risk
                 return self._end(r, "fail")
         if event.note == 1 and status is i.Status.FULL or r.reader is None:  # no state is left: read again
             self._drop_held(r)
@@ -419,16 +406,14 @@
         r.avoid.add(event.server)
         return self._next(r)
 
-    def _learn(self, server: Server, event: i.Outcome, r: Open) -> None:
-        """From the end of a read: how fast our tokens get through, how long reads wait there."""
+    def _learn(self, server: Server, event: i.Outcome, r: Open) -> None:  # from the end of a read
         tokens = max(r.ask.prompt_tokens - event.note, 1.0)
         self.usual += SMOOTH * (event.latency_us - self.usual)
         self.read_tokens += SMOOTH * (r.backlog - self.read_tokens)
         self.best_rate = max(self.best_rate, tokens / max(event.latency_us, self.set.tick_us))
         server.late_us, server.late_at = event.latency_us - tokens / self.best_rate, self.now
 
-    def _drop_held(self, r: Open) -> None:
-        """Let go of every state and place: nothing stays pinned, whatever led here."""
+    def _drop_held(self, r: Open) -> None:  # nothing stays pinned
         self._unplace(r)
         self.acts.append(i.Discard(r.ask.request))
         r.pinned_us = 0
@@ -443,32 +428,16 @@
             if self.now >= self.log_us:
                 self.log_us = self.now + LOG_US
                 self.acts.append(i.Log(f"giving up requests: {why}"))
-            harmless = not r.ran or r.cls.effect is i.Effect.SAFE
             wait = self.set.max_retry_after_us if self.set.retry_after else 0
+            harmless = not r.ran or r.cls.effect is i.Effect.SAFE
             self.acts.append(i.Refuse(r.ask.request, wait) if harmless else i.Fail(r.ask.request))
         self._drop_held(r)
         self.open.pop(r.ask.request, None)
 
-    # --- admission
-
-    def _over_share(self, tenant: str) -> bool:
-        """Whether a tenant has used up its part of the quota, or of all that comes if more."""
-        past, self.seen_us = (self.now - self.seen_us) / 1e6, self.now
-        self.seen = self.seen * max(1 - past / SHARE_SPAN_S, 0.0) + 1 / SHARE_SPAN_S
-        quota = self.quotas.get(tenant, 0.0)
-        rate = quota * max(1 / self.set.instances, self.seen / max(sum(self.quotas.values()), 1e-9))
-        most = max(rate * SHARE_SPAN_S, 1.0)  # at size a small tenant has less than one request in the span
-        left, at = self.left.get(tenant, (most, self.now))
-        left = min(left + rate * (self.now - at) / 1e6, most)
-        over = quota > 0 and left < 1
-        self.left[tenant] = (left if over else left - 1), self.now
-        return over
-
     def _sweep(self) -> None:
         self.sweep_set = False
-        for r in sorted(self.open.values(), key=lambda r: -r.cls.worth):  # the scarce room to the most worth
-            if r.out or r.ask.request not in self.open:
-                continue
+        waiting = [r for r in self.open.values() if not r.out]
+        for r in sorted(waiting, key=lambda r: -r.cls.worth):  # the scarce room to the most worth
             if self.now >= r.ask.expires_us - 2 * SWEEP_US:
                 self._end(r, "time")
             elif r.pinned_us and self.now - r.pinned_us < self.set.release_us / 2:
