--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -230,7 +230,7 @@
 
 
 def test_cell_with_few_writers_writes_elsewhere_in_part() -> None:
-    """Cells with five readers and one writer filled it while others idled; no router saw it from its own streams."""
+    """Cells with five readers and one writer filled it while others idled; no router could see it."""
     router = Router("rrrwrwww", "00001111", instances=100)
     cells = [0, 0]
     for at in range(200):
