--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -14,7 +14,7 @@
 BUSY_US = 100_000  # a writer that was full gets none of the tenant's work for about the time of a few tokens
 FULL_TIMES = 20  # or so many times what it took to say so, and longer each time: to ask must cost little
 AIM_PART_READER = 0.25  # part of the aim our tokens may wait at a reader; past it at all, none
-SPILL = 1  # readers past those of its width that a key may be read at
+SPILL = 1  # readers past its spread for a key, or as many as there are a router: that one knows them
 PLACES_MOST = 4  # writers asked for a place with one read; each asking costs what a probe costs
 KEPT_PART = 0.2  # part of a prompt that must be kept at its home for a read elsewhere to cost the fleet
 LATE_AIM_PART = 0.4  # part of the aim that others' reads may take before ours; past it at all, it waits
@@ -102,6 +102,7 @@
         self.acts: list[i.Action] = []
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
+        """Decide on one event."""
         self.now, self.acts = now_us, []
         match event:
             case i.Members():
@@ -179,8 +180,7 @@
         part = COLD_PART * len(usable) / max(known, 1)
         return [s for s in usable if (warmth := self._warmth(s)) >= 1 or r.draw < part * warmth]
 
-    def _usable(self, server: Server, r: Open) -> bool:
-        """Serving, not shut (for the tenant), and if suspect with no trial out."""
+    def _usable(self, server: Server, r: Open) -> bool:  # not shut (for the tenant), no trial out
         shut = max(server.shut_until, server.full.get(r.ask.tenant, (0, 0))[0])
         return (not server.gone and self.now >= shut
                 and not (server.strikes and server.out) and server.entry.server not in r.avoid)
@@ -231,7 +231,7 @@
         order = [s for s in order if self._usable(s, r)]
         # Texts read ever farther from home make all forget all; a prompt that is mostly new loses nothing.
         if r.ask.prefix_tokens > KEPT_PART * r.ask.prompt_tokens:
-            order = order[:wide + SPILL]
+            order = order[:wide + max(SPILL, len(order) // self.set.instances)]
         timely = [s for s in order if self._late(s) <= LATE_AIM_PART * r.aim_us]
         order = self._fit(timely, len(order), r)
         if not order:
