--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -14,7 +14,7 @@
 BUSY_US = 100_000  # a writer that was full gets none of the tenant's work for about the time of a few tokens
 FULL_TIMES = 20  # or so many times what it took to say so, and longer each time: to ask must cost little
 AIM_PART_READER = 0.25  # part of the aim our tokens may wait at a reader; past it at all, none
-SPILL = 1  # readers past its spread for a key, or as many as there are a router: that one knows them
+SPILL = 1  # readers past those of its spread that a key may be read at
 PLACES_MOST = 4  # writers asked for a place with one read; each asking costs what a probe costs
 KEPT_PART = 0.2  # part of a prompt that must be kept at its home for a read elsewhere to cost the fleet
 LATE_AIM_PART = 0.4  # part of the aim that others' reads may take before ours; past it at all, it waits
@@ -195,8 +195,7 @@
             late = max(late, self.now - sent - self.open[number].new / max(self.best_rate, 1e-9))
         return late
 
-    def _order(self, key: str) -> list[Server]:
-        """Readers in the key's order, the same at every router; kept, since ranking a fleet is dear."""
+    def _order(self, key: str) -> list[Server]:  # the same at every router; kept, as ranking a fleet is dear
         if key not in self.orders:
             readers = (s for s in self.servers.values() if s.role is not i.Role.WRITE and not s.gone)
             self.orders[key] = sorted(readers, key=lambda s: self._rank(key, s))
@@ -231,7 +230,8 @@
         order = [s for s in order if self._usable(s, r)]
         # Texts read ever farther from home make all forget all; a prompt that is mostly new loses nothing.
         if r.ask.prefix_tokens > KEPT_PART * r.ask.prompt_tokens:
-            order = order[:wide + max(SPILL, len(order) // self.set.instances)]
+            far = order[wide + SPILL:wide + len(order) // self.set.instances]  # few routers know who idles
+            order = order[:wide + SPILL] + [s for s in far if not s.out]
         timely = [s for s in order if self._late(s) <= LATE_AIM_PART * r.aim_us]
         order = self._fit(timely, len(order), r)
         if not order:
