--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -231,7 +231,7 @@
         # Texts read ever farther from home make all forget all; a prompt that is mostly new loses nothing.
         if r.ask.prefix_tokens > KEPT_PART * r.ask.prompt_tokens:
             far = order[wide + SPILL:wide + len(order) // self.set.instances]  # few routers know who idles
-            order = order[:wide + SPILL] + [s for s in far if not s.out]
+            order = order[:wide + SPILL] + [s for s in far if not s.out and 2 * r.new > r.ask.prompt_tokens]
         timely = [s for s in order if self._late(s) <= LATE_AIM_PART * r.aim_us]
         order = self._fit(timely, len(order), r)
         if not order:
