--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -91,6 +91,7 @@
         self.cells: dict[int, tuple[float, float]] = {}  # a cell's part of the reads and of the writing
         self.keys: dict[str, float] = {}  # requests of a key; in all; since when
         self.keys_sum, self.keys_us = 0.0, 0
+        self.turns: dict[str, float] = {}  # tokens of a session's last prompt that was read for us
         self.usual = 0.0  # running mean time of a read
         self.best_rate = 0.0  # tokens a microsecond that a reader read when nothing was in its way
         self.read_tokens = 0.0  # running mean of our tokens ahead of a read and its own
@@ -229,7 +230,7 @@
             order = sorted(order[:wide], key=lambda s: self._rank(r.ask.session or "", s)) + order[wide:]
         order = [s for s in order if self._usable(s, r)]
         # Texts read ever farther from home make all forget all; a prompt that is mostly new loses nothing.
-        if r.ask.prefix_tokens > KEPT_PART * r.ask.prompt_tokens:
+        if r.new < (1 - KEPT_PART) * r.ask.prompt_tokens:
             far = order[wide + SPILL:wide + len(order) // self.set.instances]  # few routers know who idles
             order = order[:wide + SPILL] + [s for s in far if not s.out and 2 * r.new > r.ask.prompt_tokens]
         timely = [s for s in order if self._late(s) <= LATE_AIM_PART * r.aim_us]
@@ -277,8 +278,9 @@
     def _arrive(self, ask: i.Request) -> None:
         cls = self.classes[ask.cls]
         aim = cls.aim_us + cls.aim_us_per_1000_prompt_tokens * ask.prompt_tokens / 1000
+        kept = max(ask.prefix_tokens, self.turns.get(ask.session or "", 0.0))
         r = self.open[ask.request] = Open(ask, cls, aim, ask.prefix or ask.session or str(ask.request),
-                                       max(ask.prompt_tokens - ask.prefix_tokens, 1.0), self.random.random())
+                                       max(ask.prompt_tokens - kept, 1.0), self.random.random())
         self._count_key(r.key)
         self._start(r)
 
@@ -408,6 +410,9 @@
 
     def _learn(self, server: Server, event: i.Outcome, r: Open) -> None:  # from the end of a read
         tokens = max(r.ask.prompt_tokens - event.note, 1.0)
+        if len(self.turns) > KEYS_MOST:
+            self.turns.clear()
+        self.turns[r.ask.session or ""] = r.ask.prompt_tokens
         self.usual += SMOOTH * (event.latency_us - self.usual)
         self.read_tokens += SMOOTH * (r.backlog - self.read_tokens)
         self.best_rate = max(self.best_rate, tokens / max(event.latency_us, self.set.tick_us))
