--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -16,7 +16,6 @@
 AIM_PART_READER = 0.25  # part of the aim our tokens may wait at a reader; past it at all, none
 SPILL = 1  # readers past those of its spread that a key may be read at
 PLACES_MOST = 4  # writers asked for a place with one read; each asking costs what a probe costs
-LONG_BOUNDS = 2.0  # our tokens at a home over so many bounds are one long prompt: others go anywhere
 KEPT_PART = 0.2  # part of a prompt that must be kept at its home for a read elsewhere to cost the fleet
 LATE_AIM_PART = 0.4  # part of the aim that others' reads may take before ours; past it at all, it waits
 WAIT_AIM_PART = 0.2  # part of the aim that may be spent waiting before the read; the rest is for the work
@@ -232,8 +231,7 @@
         order = [s for s in order if self._usable(s, r)]
         # Texts read ever farther from home make all forget all; a prompt that is mostly new loses nothing.
         bound = AIM_PART_READER * r.aim_us * self.read_tokens / max(self.usual, 1.0)
-        blocked = bool(order) and order[0].tokens > LONG_BOUNDS * bound  # by one long prompt of ours
-        if r.new < (1 - KEPT_PART) * r.ask.prompt_tokens and not blocked:
+        if r.new < (1 - KEPT_PART) * r.ask.prompt_tokens:
             order = order[:wide + SPILL]
         timely = [s for s in order if self._late(s) <= LATE_AIM_PART * r.aim_us]
         order = self._fit(timely, len(order), r)
