--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -49,6 +49,7 @@
     strikes: int = 0  # failed connections since it last answered
     shut_until: int = 0
     full: dict[str | None, tuple[int, int]] = field(default_factory=dict)  # by tenant: shut until, times full
+    kept: dict[str, float] = field(default_factory=dict)  # texts it has read for us: tokens
     late_us: float = 0.0  # how long a read there last took beyond its own reading, seen when
     late_at: int = 0
 
@@ -61,8 +62,8 @@
     cls: i.RequestClass
     aim_us: float
     key: str  # by which its reader is chosen
-    new: float  # prompt tokens beyond the shared beginning, which its home has kept
     draw: float  # from 0 to 1: which part of the requests it belongs to
+    new: float = 1.0  # tokens that its reader must read, by what it has read for us before
     backlog: float = 0.0  # our tokens at the reader when it was sent there
     waits_us: int = 0  # since when it waits
     attempts: int = 0
@@ -91,7 +92,6 @@
         self.cells: dict[int, tuple[float, float]] = {}  # a cell's part of the reads and of the writing
         self.keys: dict[str, float] = {}  # requests of a key; in all; since when
         self.keys_sum, self.keys_us = 0.0, 0
-        self.turns: dict[str, float] = {}  # tokens of a session's last prompt that was read for us
         self.usual = 0.0  # running mean time of a read
         self.best_rate = 0.0  # tokens a microsecond that a reader read when nothing was in its way
         self.read_tokens = 0.0  # running mean of our tokens ahead of a read and its own
@@ -134,6 +134,7 @@
             if entry.up_since_us > known.entry.up_since_us:  # restarted: what we held against it is void
                 known.strikes, known.shut_until, known.since_us = 0, 0, entry.up_since_us
                 known.full.clear()
+                known.kept.clear()
             known.entry = entry if entry.units > 0 else replace(entry, units=1e-9)
             known.gone = entry.state is not i.State.SERVING
         if event.list_kind in (i.ListKind.COMPLETE, i.ListKind.STALE):
@@ -231,16 +232,21 @@
         order = [s for s in order if self._usable(s, r)]
         # Texts read ever farther from home make all forget all; a prompt that is mostly new loses nothing.
         bound = AIM_PART_READER * r.aim_us * self.read_tokens / max(self.usual, 1.0)
-        if r.new < (1 - KEPT_PART) * r.ask.prompt_tokens:
+        if r.ask.prefix_tokens > KEPT_PART * r.ask.prompt_tokens:
             order = order[:wide + SPILL]
         timely = [s for s in order if self._late(s) <= LATE_AIM_PART * r.aim_us]
         order = self._fit(timely, len(order), r)
         if not order:
             return None
-        ahead = [s.tokens + r.new for s in order]
+        ahead = [s.tokens + self._new(r, s) for s in order]
         best = 0 if ahead[0] <= bound else ahead.index(min(ahead))
+        r.new = self._new(r, order[best])
         return order[best] if not order[best].tokens or ahead[best] <= bound else None
 
+    def _new(self, r: Open, server: Server) -> float:  # what a reader must read, but for what it read for us
+        kept = max(server.kept.get(r.ask.prefix or "", 0.0), server.kept.get(r.ask.session or "", 0.0))
+        return max(r.ask.prompt_tokens - kept, 1.0)
+
     # --- writer choice
 
     def _writer(self, r: Open) -> Server | None:
@@ -277,9 +283,7 @@
     def _arrive(self, ask: i.Request) -> None:
         cls = self.classes[ask.cls]
         aim = cls.aim_us + cls.aim_us_per_1000_prompt_tokens * ask.prompt_tokens / 1000
-        kept = max(ask.prefix_tokens, self.turns.get(ask.session or "", 0.0))
-        r = self.open[ask.request] = Open(ask, cls, aim, ask.prefix or ask.session or str(ask.request),
-                                       max(ask.prompt_tokens - kept, 1.0), self.random.random())
+        r = self.open[ask.request] = Open(ask, cls, aim, ask.prefix or ask.session or str(ask.request), self.random.random())
         self._count_key(r.key)
         self._start(r)
 
@@ -409,9 +413,9 @@
 
     def _learn(self, server: Server, event: i.Outcome, r: Open) -> None:  # from the end of a read
         tokens = max(r.ask.prompt_tokens - event.note, 1.0)
-        if len(self.turns) > KEYS_MOST:
-            self.turns.clear()
-        self.turns[r.ask.session or ""] = r.ask.prompt_tokens
+        if len(server.kept) > KEYS_MOST:
+            server.kept.clear()
+        server.kept |= {r.ask.prefix or "": r.ask.prefix_tokens, r.ask.session or "": r.ask.prompt_tokens}
         self.usual += SMOOTH * (event.latency_us - self.usual)
         self.read_tokens += SMOOTH * (r.backlog - self.read_tokens)
         self.best_rate = max(self.best_rate, tokens / max(event.latency_us, self.set.tick_us))
