--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -142,8 +142,7 @@
                 server.gone = server.gone or number not in named
         self._weigh([s for s in self.servers.values() if not s.gone])
 
-    def _weigh(self, serving: list[Server]) -> None:
-        """A cell's part of the reads follows its part of the writers, as far as its readers can carry it."""
+    def _weigh(self, serving: list[Server]) -> None:  # a cell's part of the reads follows its writers
         units = {s.entry.cell: [0.0, 0.0] for s in serving}
         for s in serving:
             for at, other in enumerate((i.Role.WRITE, i.Role.READ)):
@@ -177,8 +176,7 @@
 
     def _fit(self, usable: list[Server], known: int, r: Open) -> list[Server]:
         """Leave out what is cold, but for the part of the requests that it can do."""
-        # Routers with less than one send a span cannot share a count. One draw a request: else all that wait
-        # get through in the end. With most others full or dead all would come to the cold: the part shrinks.
+        # Routers with under one send a span share no count. With most others full or dead all come to the cold.
         part = COLD_PART * len(usable) / max(known, 1)
         return [s for s in usable if (warmth := self._warmth(s)) >= 1 or r.draw < part * warmth]
 
@@ -189,8 +187,7 @@
 
     # --- reader choice
 
-    def _late(self, server: Server) -> float:
-        """How long a read waits there, by what we saw last: half of the time since has worked it off."""
+    def _late(self, server: Server) -> float:  # how long a read waits there, by what we saw
         # Where many routers fill a reader, reads came late, were repeated, and the jam outlived its cause.
         late = server.late_us - (self.now - server.late_at) / 2
         for (number, _), sent in list(server.out.items())[:1]:  # the oldest that is out may be later still
@@ -203,8 +200,7 @@
             self.orders[key] = sorted(readers, key=lambda s: self._rank(key, s))
         return self.orders[key]
 
-    def _rank(self, key: str, server: Server) -> float:
-        """Weighted rendezvous hash: a cell draws keys by its readers, less where it has few writers."""
+    def _rank(self, key: str, server: Server) -> float:  # weighted rendezvous hash
         digest = blake2b(f"{key} {server.entry.server}".encode(), digest_size=6).digest()
         weight = server.entry.units * max(self.pull[server.entry.cell], 1e-9)
         return -math.log((int.from_bytes(digest) + 1) / (1 << 48)) / weight
@@ -264,15 +260,13 @@
                 return writer
         return self._least(known, r)
 
-    def _least(self, known: list[Server], r: Open) -> Server | None:
-        """Fewest of our streams for what it can do now (a cold one is not the emptiest); ties by chance."""
+    def _least(self, known: list[Server], r: Open) -> Server | None:  # for what each can do now
         usable = [s for s in known if self._usable(s, r) and s.entry.server not in r.asked]
         fit = self._fit(usable, len(known), r)
         loads = [(s.streams + 1 + self.random.expovariate(1)) / s.entry.units / self._warmth(s) for s in fit]
         return fit[loads.index(min(loads))] if loads else None
 
-    def _cell(self, home: int) -> int:
-        """Where a state read in a cell is written: there, as far as the cell's part of the writers goes."""
+    def _cell(self, home: int) -> int:  # where a state read in a cell is written
         # Else a cell's few writers fill while others idle, and no router sees it from its own streams.
         read, write = self.cells[home]
         away = self.random.random() * read > write and any(self.spare)
@@ -283,8 +277,9 @@
     def _arrive(self, ask: i.Request) -> None:
         cls = self.classes[ask.cls]
         aim = cls.aim_us + cls.aim_us_per_1000_prompt_tokens * ask.prompt_tokens / 1000
-        r = self.open[ask.request] = Open(ask, cls, aim, ask.prefix or ask.session or str(ask.request), self.random.random())
-        self._count_key(r.key)
+        key = ask.prefix or ask.session or str(ask.request)
+        r = self.open[ask.request] = Open(ask, cls, aim, key, self.random.random())
+        self._count_key(key)
         self._start(r)
 
     def _send(self, r: Open, server: Server) -> None:
@@ -293,8 +288,7 @@
         r.attempts, r.pinned_us = r.attempts + 1, 0
         self.acts.append(i.Send(r.ask.request, server.entry.server))
 
-    def _start(self, r: Open) -> None:
-        """Begin to read: the reader of the prefix hash, and with the read a place at its cell's writer."""
+    def _start(self, r: Open) -> None:  # begin to read, and ask a place with it
         if r.attempts + 2 > self.set.max_attempts or self.now >= r.ask.expires_us - self.set.tick_us:
             return self._end(r, "time")
         r.reader = reader = self._reader(r)
@@ -340,8 +334,7 @@
         self._take(r, server, -1)
         return False
 
-    def _next(self, r: Open) -> None:
-        """After a read, or after a writer turned the request away: to the place, else to another writer."""
+    def _next(self, r: Open) -> None:  # after a read, or a writer turned it away
         if self.now >= r.ask.expires_us - self.set.tick_us or r.attempts >= self.set.max_attempts:
             return self._end(r, "time")
         if r.place is not None and self._usable(r.place, r):
