--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -176,7 +176,7 @@
 
     def _fit(self, usable: list[Server], known: int, r: Open) -> list[Server]:
         """Leave out what is cold, but for the part of the requests that it can do."""
-        # Routers with under one send a span share no count. With most others full or dead all come to the cold.
+        # Routers with under one send a span share no count. With most others full or dead, all goes there.
         part = COLD_PART * len(usable) / max(known, 1)
         return [s for s in usable if (warmth := self._warmth(s)) >= 1 or r.draw < part * warmth]
 
