--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -309,6 +309,28 @@
     assert router.policy.servers[1].strikes == 0
 
 
+@pytest.mark.parametrize("instances", [1, 2, 300])
+@pytest.mark.parametrize(("fleet", "cells"), [("rw", "01"), ("rrww", "0011"), ("m", "0"), ("rrw", "010")])
+def test_odd_fleets_are_served_at_any_number_of_routers(fleet: str, cells: str, instances: int) -> None:
+    """Cells without a writer or a reader, or a part of the memory under one prompt, refuse nothing."""
+    tenants = (i.Tenant("none", 0.0, 0.0),)
+    router = Router(fleet, cells, instances=instances, tenants=tenants, over_share_worth=0.0)
+    assert sends(router.ask(prompt=20_000.0))
+
+
+@pytest.mark.parametrize("instances", [2, 100])
+def test_memory_bounds_the_work_of_a_router(instances: int) -> None:
+    """Without a bound all routers together took on more than the writers could hold, and all answers came late."""
+    router = Router("r" * 8 + "w" * 8, instances=instances)
+    router.policy.refused_us = router.now
+    held = 0
+    for at in range(400):
+        held += len(places(router.ask(prompt=3_000.0, prefix=f"p{at}")))
+        for server in router.policy.servers.values():
+            server.tokens = 0.0
+    assert 1 <= held <= max(1, 0.9 * 8 * 50_000 / instances / 3_000)
+
+
 @pytest.mark.parametrize(("field", "value"), [
     ("me", 5), ("instances", 0), ("start_capacity", 0.0), ("classes", ()), ("kinds", ()), ("release_us", 0),
     ("max_attempts", 0)])
