--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -320,7 +320,7 @@
 
 @pytest.mark.parametrize("instances", [2, 100])
 def test_memory_bounds_the_work_of_a_router(instances: int) -> None:
-    """Without a bound all routers together took on more than the writers could hold, and all answers came late."""
+    """Without a bound routers took on more than the writers could hold, and all answers came late."""
     router = Router("r" * 8 + "w" * 8, instances=instances)
     router.policy.refused_us = router.now
     held = 0
