--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -176,7 +176,6 @@
 
     def _fit(self, usable: list[Server], known: int, r: Open) -> list[Server]:
         """Leave out what is cold, but for the part of the requests that it can do."""
-        # Routers with under one send a span share no count. With most others full or dead, all goes there.
         part = COLD_PART * len(usable) / max(known, 1)
         return [s for s in usable if (warmth := self._warmth(s)) >= 1 or r.draw < part * warmth]
 
@@ -187,9 +186,9 @@
 
     # --- reader choice
 
-    def _late(self, server: Server) -> float:  # how long a read waits there, by what we saw
+    def _late(self, server: Server) -> float:  # what a read waits there, by what we saw
         # Where many routers fill a reader, reads came late, were repeated, and the jam outlived its cause.
-        late = server.late_us - (self.now - server.late_at) / 2
+        late = server.late_us - (self.now - server.late_at)
         for (number, _), sent in list(server.out.items())[:1]:  # the oldest that is out may be later still
             late = max(late, self.now - sent - self.open[number].new / max(self.best_rate, 1e-9))
         return late
@@ -229,7 +228,8 @@
         # Texts read ever farther from home make all forget all; a prompt that is mostly new loses nothing.
         bound = AIM_PART_READER * r.aim_us * self.read_tokens / max(self.usual, 1.0)
         if r.ask.prefix_tokens > KEPT_PART * r.ask.prompt_tokens:
-            order = order[:wide + SPILL]
+            far = order[wide + SPILL:wide + len(order) // self.set.instances]  # few routers know who idles
+            order = order[:wide + SPILL] + [s for s in far if not s.out]
         timely = [s for s in order if self._late(s) <= LATE_AIM_PART * r.aim_us]
         order = self._fit(timely, len(order), r)
         if not order:
