--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -309,6 +309,15 @@
     assert router.policy.servers[1].strikes == 0
 
 
+def test_read_that_ends_when_its_whole_cell_is_gone() -> None:
+    """Found by the ledger: the cell of the state had left the list, and the choice of a writer broke."""
+    router = Router("rwrw", "0011")
+    reader = sends(router.ask())[0]
+    for server in (reader, reader + 1):
+        router.change(server, i.State.GONE)
+    assert sends(router.end(1, 0, reader, i.Status.READ)) == [4 if reader == 1 else 2]
+
+
 @pytest.mark.parametrize("instances", [1, 2, 300])
 @pytest.mark.parametrize(("fleet", "cells"), [("rw", "01"), ("rrww", "0011"), ("m", "0"), ("rrw", "010")])
 def test_odd_fleets_are_served_at_any_number_of_routers(fleet: str, cells: str, instances: int) -> None:
--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -268,7 +268,7 @@
 
     def _cell(self, home: int) -> int:  # where a state read in a cell is written
         # Else a cell's few writers fill while others idle, and no router sees it from its own streams.
-        read, write = self.cells[home]
+        read, write = self.cells.get(home, (0.0, 0.0))
         away = self.random.random() * read > write and any(self.spare)
         return self.random.choices(list(self.cells), self.spare)[0] if away else home
 
