Let readers in cells without writers read what the others cannot

Cause: three of seven cells, 24 of 39 readers, have no writer. _weigh gave them no keys and capped the rest at 1.25 times their even part, never seeing that the parts then add up to 0.48; ranks are relative, so 15 readers got every key, 2.6 times their even part: 350,000 new tokens a second asked, 230,000 done.

Also guards against writers of whole cells dying or leaving.

--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -152,7 +152,12 @@
         scale = 1.0
         for _ in range(PULL_ROUNDS):
             self.pull = {c: min(scale * w / r, PULL_MOST) for c, (r, w) in parts.items()}
-            scale /= max(sum(r * self.pull[c] for c, (r, _) in parts.items()), 1e-9)
+            even = sum(r * self.pull[c] for c, (r, _) in parts.items())
+            scale /= max(even, 1e-9)
+        # Cells with writers may be too few to read for all: the others read the rest, else a few readers
+        # jam while the many in cells that have no writers, or have lost them, idle. Costs moves out of cells.
+        rest = max(1 - even, 0.0) / max(PULL_MOST - even, 1e-9)
+        self.pull = {c: pull + rest * (PULL_MOST - pull) for c, pull in self.pull.items()}
         self.cells = {c: (r * self.pull[c], w) for c, (r, w) in parts.items()}
         self.spare = [max(w - r, 0.0) for r, w in self.cells.values()]
 
