Count a cell as late while its states come out late

Each router remembers how long a state last took out of a cell (also of one that ended unanswered) and, while that is past the part of the aim for others' work, passes over readers of a cell without writers, and writes in the cell where it has some.

Also guards against full writers in the other cells. Harm: a late first token of another cause sends keys away from their homes for as long as it took.

--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -118,6 +118,27 @@
     assert len(set(homes)) == 9
 
 
+@pytest.mark.parametrize("instances", [1, 2, 100])
+def test_cell_whose_states_come_out_late_is_left_for_a_while(instances: int) -> None:
+    """Slow links of some cells: all that was read there was written too late, others' links had room."""
+    router = Router("rrrrrrrrww", "0000011122", instances=instances)
+    slow, reader = set(range(1, 6)), 0
+    while reader not in slow:
+        reader = sends(router.ask(prefix=f"q{router.next}"))[0]
+    number = router.next
+    writer = sends(router.end(number, 0, reader, i.Status.READ))[0]
+    router.now += 2_000 * MS
+    router.feed(i.First(number, 1, writer, 2_000 * MS))
+    for open_ in list(router.policy.open):
+        router.feed(i.Hangup(open_))
+    later = [sends(router.ask(prefix=f"p{n}")) for n in range(40)]
+    assert not {s for sent in later for s in sent} & slow and any(later)
+    for open_ in list(router.policy.open):
+        router.feed(i.Hangup(open_))
+    router.now += 2_000 * MS
+    assert {router.home(prefix=f"p{n}") for n in range(200)} >= slow
+
+
 def test_drained_server_gets_neither_send_nor_place_even_if_held() -> None:
     router = Router("rww")
     place = places(router.ask())[0]
--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -90,6 +90,7 @@
         self.pull: dict[int, float] = {}  # how readily a cell's readers draw keys
         self.spare: list[float] = []  # what part of the writing each cell has to spare
         self.cells: dict[int, tuple[float, float]] = {}  # a cell's part of the reads and of the writing
+        self.links: dict[int, tuple[int, int]] = {}  # how long a state last took out of a cell, seen when
         self.keys: dict[str, float] = {}  # requests of a key; in all; since when
         self.keys_sum, self.keys_us = 0.0, 0
         self.usual = 0.0  # running mean time of a read
@@ -193,11 +194,22 @@
 
     def _late(self, server: Server) -> float:  # what a read waits there, by what we saw
         # Where many routers fill a reader, reads came late, were repeated, and the jam outlived its cause.
-        late = server.late_us - (self.now - server.late_at)
+        late = max(server.late_us - (self.now - server.late_at),
+                   0 if self.cells[server.entry.cell][1] else self._slow(server.entry.cell))
         for (number, _), sent in list(server.out.items())[:1]:  # the oldest that is out may be later still
             late = max(late, self.now - sent - self.open[number].new / max(self.best_rate, 1e-9))
         return late
 
+    def _slow(self, cell: int) -> int:  # what a state waits on its way out of a cell, by what we saw
+        # A slowed or crowded link, or full writers elsewhere: what is read there is written too late.
+        took, at = self.links.get(cell, (0, self.now))
+        return took - (self.now - at)
+
+    def _moved(self, r: Open, server: Server, sent: int | None, first: bool) -> None:
+        if sent is not None and r.reader is not None and (cell := r.reader.entry.cell) != server.entry.cell:
+            took = self.now - sent
+            self.links[cell] = (took if first else max(took, self._slow(cell))), self.now
+
     def _order(self, key: str) -> list[Server]:  # the same at every router; kept, as ranking a fleet is dear
         if key not in self.orders:
             readers = (s for s in self.servers.values() if s.role is not i.Role.WRITE and not s.gone)
@@ -259,7 +271,7 @@
         if self.held and self.held + r.ask.prompt_tokens > part > 0:
             return None
         home = r.reader.entry.cell if r.reader is not None else None
-        for cell in () if home is None else (self._cell(home), home):
+        for cell in () if home is None else (self._cell(r, home), home):
             near = [s for s in known if s.entry.cell == cell]
             if (writer := self._least(near, r)) is not None:
                 return writer
@@ -271,10 +283,11 @@
         loads = [(s.streams + 1 + self.random.expovariate(1)) / s.entry.units / self._warmth(s) for s in fit]
         return fit[loads.index(min(loads))] if loads else None
 
-    def _cell(self, home: int) -> int:  # where a state read in a cell is written
+    def _cell(self, r: Open, home: int) -> int:  # where a state read in a cell is written
         # Else a cell's few writers fill while others idle, and no router sees it from its own streams.
         read, write = self.cells.get(home, (0.0, 0.0))
         away = self.random.random() * read > write and any(self.spare)
+        away = away and not (write and self._slow(home) > LATE_AIM_PART * r.aim_us)
         return self.random.choices(list(self.cells), self.spare)[0] if away else home
 
     # --- request life cycle
@@ -332,10 +345,11 @@
 
     def _uncount(self, r: Open, seq: int) -> bool:  # an attempt is over; was it a read?
         server = r.out.pop(seq)
-        server.out.pop((r.ask.request, seq), None)
+        sent = server.out.pop((r.ask.request, seq), None)
         if server.role is i.Role.READ:
             server.tokens -= r.new
             return True
+        self._moved(r, server, sent, first=False)
         self._take(r, server, -1)
         return False
 
@@ -359,7 +373,8 @@
         if isinstance(event, i.Hangup):
             self._end(r, None)
         elif isinstance(event, i.First) and event.attempt in r.out:
-            r.out[event.attempt].out.pop((event.request, event.attempt), None)
+            at = r.out[event.attempt]
+            self._moved(r, at, at.out.pop((event.request, event.attempt), None), first=True)
             self._alive(r.out[event.attempt], r)
             r.pinned_us = 0
         elif isinstance(event, i.Note) and not event.held and r.place is not None:
