--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -195,7 +195,7 @@
     def _late(self, server: Server) -> float:  # what a read waits there, by what we saw
         # Where many routers fill a reader, reads came late, were repeated, and the jam outlived its cause.
         late = max(server.late_us - (self.now - server.late_at),
-                   0 if self.cells[server.entry.cell][1] else self._slow(server.entry.cell))
+                   0 if self.cells.get(server.entry.cell, (0.0, 0.0))[1] else self._slow(server.entry.cell))
         for (number, _), sent in list(server.out.items())[:1]:  # the oldest that is out may be later still
             late = max(late, self.now - sent - self.open[number].new / max(self.best_rate, 1e-9))
         return late
