--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -211,6 +211,29 @@
     assert router.home() == home
 
 
+@pytest.mark.parametrize("instances", [1, 2, 100])
+def test_late_reader_is_left_the_longer_the_more_routers_try_it(instances: int) -> None:
+    """Each of dozens of routers tried a jammed reader again as soon as it could: the jam never cleared."""
+    router = Router("rw", instances=instances)
+    router.ask()
+    router.now += 100 * MS
+    router.end(1, 0, 1, i.Status.READ)
+    router.feed(i.Hangup(1))
+    own = router.policy.own_us
+    router.ask()
+    router.now += 2_000 * MS
+    router.feed(i.Outcome(2, 0, 1, i.Status.TIMEOUT, 2_000 * MS, False))
+    router.feed(i.Hangup(2))
+    since, waited = router.now, 2_000 * MS + (instances - 1) * own
+    for _ in range(int(waited // (10 * MS)) + 1):
+        router.now += 10 * MS
+        if sends(router.ask()):
+            break
+        router.feed(i.Hangup(router.next))
+    aim = router.policy.least_aim
+    assert own > 0 and waited - aim < router.now - since <= waited
+
+
 def test_hung_reader_is_left_while_its_read_is_overdue() -> None:
     """Hung readers took work and answered none; each request there was lost."""
     router = Router("rrw")
--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -95,6 +95,7 @@
         self.keys_sum, self.keys_us = 0.0, 0
         self.usual = 0.0  # running mean time of a read
         self.best_rate = 0.0  # tokens a microsecond that a reader read when nothing was in its way
+        self.own_us = 0.0  # running mean time of a read with nothing in its way
         self.read_tokens = 0.0  # running mean of our tokens ahead of a read and its own
         self.least_aim = min(cls.aim_us for cls in settings.classes)
         self.log_us = 0
@@ -200,6 +201,12 @@
             late = max(late, self.now - sent - self.open[number].new / max(self.best_rate, 1e-9))
         return late
 
+    def _lag(self, server: Server, late_us: float) -> None:  # a read there ended late, or not at all
+        # When many routers each try a jammed reader again once its lateness is worked off, they feed the jam
+        # for good: its queue is reads whose clients have left. A read of each other longer lets it clear.
+        over = min(max(late_us / self.least_aim - LATE_AIM_PART, 0.0), 1.0)
+        server.late_us, server.late_at = late_us + over * (self.set.instances - 1) * self.own_us, self.now
+
     def _slow(self, cell: int) -> int:  # what a state waits on its way out of a cell, by what we saw
         # A slowed or crowded link, or full writers elsewhere: what is read there is written too late.
         took, at = self.links.get(cell, (0, self.now))
@@ -396,7 +403,7 @@
         elif status in (i.Status.CONNECT_FAILED, i.Status.RESET):
             self._strike(server, status.value)
         if status in (i.Status.FULL, i.Status.TIMEOUT) and server.role is i.Role.READ:
-            server.late_us, server.late_at = max(event.latency_us, self.least_aim), self.now
+            self._lag(server, max(event.latency_us, self.least_aim))
         if r is None:
             if status is i.Status.READ:  # read for a request that has ended: nothing may stay pinned
                 self.acts.append(i.Discard(event.request))
@@ -432,7 +439,8 @@
         self.usual += SMOOTH * (event.latency_us - self.usual)
         self.read_tokens += SMOOTH * (r.backlog - self.read_tokens)
         self.best_rate = max(self.best_rate, tokens / max(event.latency_us, self.set.tick_us))
-        server.late_us, server.late_at = event.latency_us - tokens / self.best_rate, self.now
+        self.own_us += SMOOTH * (tokens / self.best_rate - self.own_us)
+        self._lag(server, event.latency_us - tokens / self.best_rate)
 
     def _drop_held(self, r: Open) -> None:  # nothing stays pinned
         self._unplace(r)
