--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -104,8 +104,8 @@
 
 def test_home_without_writer_is_passed_over() -> None:
     """Reads in a cell without writers sent every state over the rack's slow link."""
-    router = Router("rrrrrrw", "0000010")
-    assert 6 not in {router.home(prefix=f"p{n}") for n in range(40)}
+    router = Router("r" * 12 + "w", "0" * 11 + "10")
+    assert 12 not in {router.home(prefix=f"p{n}") for n in range(100)}
 
 
 @pytest.mark.parametrize("instances", [1, 2, 100])
