--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -243,13 +243,14 @@
     assert sends(router.ask()) == [3 - reader]
 
 
-def test_shared_text_is_not_read_ever_farther_from_its_home() -> None:
-    """In a jam every reader read every text; nothing stayed kept and the jam outlived its cause."""
+@pytest.mark.parametrize("shared", [400.0, 20.0])
+def test_shared_text_is_not_read_ever_farther_from_its_home(shared: float) -> None:
+    """In a jam every reader read every text, or turns of a session; nothing stayed kept, the jam went on."""
     router = Router("rrrrrrw", instances=80)
     seen = set()
     for _ in range(6):
         router.next += 1
-        for reader in sends(router.feed(i.Request(router.next, "safe", router.now + LIFE, 500.0, 400.0,
+        for reader in sends(router.feed(i.Request(router.next, "safe", router.now + LIFE, 500.0, shared,
                                                   prefix="p", session="s"))):
             seen.add(reader)
             router.feed(i.Outcome(router.next, 0, reader, i.Status.READ, 2_000 * MS, False))
--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -16,7 +16,6 @@
 AIM_PART_READER = 0.25  # part of the aim our tokens may wait at a reader; past it at all, none
 SPILL = 1  # readers past those of its spread that a key may be read at
 PLACES_MOST = 4  # writers asked for a place with one read; each asking costs what a probe costs
-KEPT_PART = 0.2  # part of a prompt that must be kept at its home for a read elsewhere to cost the fleet
 LATE_AIM_PART = 0.4  # part of the aim that others' reads may take before ours; past it at all, it waits
 WAIT_AIM_PART = 0.2  # part of the aim that may be spent waiting before the read; the rest is for the work
 COLD_PART = 0.8  # of the requests that a cold server is sent for what it can do: room for chance and repeats
@@ -249,9 +248,10 @@
         if wide > 1:  # a session keeps to its reader among them, where its earlier turns are kept
             order = sorted(order[:wide], key=lambda s: self._rank(r.ask.session or "", s)) + order[wide:]
         order = [s for s in order if self._usable(s, r)]
-        # Texts read ever farther from home make all forget all; a prompt that is mostly new loses nothing.
+        # Texts read ever farther from home make all forget all; a session's later turn leaves most behind there,
+        # however small its shared text. What shares none may go anywhere: else it jams where others are kept.
         bound = AIM_PART_READER * r.aim_us * self.read_tokens / max(self.usual, 1.0)
-        if r.ask.prefix_tokens > KEPT_PART * r.ask.prompt_tokens:
+        if r.ask.prefix_tokens:
             far = order[wide + SPILL:wide + len(order) // self.set.instances]  # few routers know who idles
             order = order[:wide + SPILL] + [s for s in far if not s.out]
         timely = [s for s in order if self._late(s) <= LATE_AIM_PART * r.aim_us]
