--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -247,6 +247,7 @@
 def test_shared_text_is_not_read_ever_farther_from_its_home(shared: float) -> None:
     """In a jam every reader read every text, or turns of a session; nothing stayed kept, the jam went on."""
     router = Router("rrrrrrw", instances=80)
+    router.policy.best_rate, router.policy.keys_sum = 0.02, 1_000.0  # the text is one of many
     seen = set()
     for _ in range(6):
         router.next += 1
@@ -255,7 +256,7 @@
             seen.add(reader)
             router.feed(i.Outcome(router.next, 0, reader, i.Status.READ, 2_000 * MS, False))
         router.feed(i.Hangup(router.next))
-    assert len(seen) <= 3
+    assert len(seen) == 2
 
 
 @pytest.mark.parametrize("instances", [2, 100])
--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -248,8 +248,8 @@
         if wide > 1:  # a session keeps to its reader among them, where its earlier turns are kept
             order = sorted(order[:wide], key=lambda s: self._rank(r.ask.session or "", s)) + order[wide:]
         order = [s for s in order if self._usable(s, r)]
-        # Texts read ever farther from home make all forget all; a session's later turn leaves most behind there,
-        # however small its shared text. What shares none may go anywhere: else it jams where others are kept.
+        # Texts read ever farther from home make all forget all, and a session's later turn leaves most behind
+        # there, however short its shared text. What shares none may go anywhere, out of the others' way.
         bound = AIM_PART_READER * r.aim_us * self.read_tokens / max(self.usual, 1.0)
         if r.ask.prefix_tokens:
             far = order[wide + SPILL:wide + len(order) // self.set.instances]  # few routers know who idles
