Keep off a cell whose states come out late as long as off a late reader

The pause of late readers is folded into one for both.

Also guards against writers of other cells being full.

--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -89,7 +89,7 @@
         self.pull: dict[int, float] = {}  # how readily a cell's readers draw keys
         self.spare: list[float] = []  # what part of the writing each cell has to spare
         self.cells: dict[int, tuple[float, float]] = {}  # a cell's part of the reads and of the writing
-        self.links: dict[int, tuple[int, int]] = {}  # how long a state last took out of a cell, seen when
+        self.links: dict[int, tuple[float, int]] = {}  # how long a state last took out of a cell, seen when
         self.keys: dict[str, float] = {}  # requests of a key; in all; since when
         self.keys_sum, self.keys_us = 0.0, 0
         self.usual = 0.0  # running mean time of a read
@@ -195,25 +195,25 @@
     def _late(self, server: Server) -> float:  # what a read waits there, by what we saw
         # Where many routers fill a reader, reads came late, were repeated, and the jam outlived its cause.
         late = max(server.late_us - (self.now - server.late_at),
-                   0 if self.cells.get(server.entry.cell, (0.0, 0.0))[1] else self._slow(server.entry.cell))
+                   0.0 if self.cells.get(server.entry.cell, (0.0, 0.0))[1] else self._slow(server.entry.cell))
         for (number, _), sent in list(server.out.items())[:1]:  # the oldest that is out may be later still
             late = max(late, self.now - sent - self.open[number].new / max(self.best_rate, 1e-9))
         return late
 
-    def _lag(self, server: Server, late_us: float) -> None:  # a read there ended late, or not at all
-        # When many routers each try a jammed reader again once its lateness is worked off, they feed the jam
-        # for good: its queue is reads whose clients have left. A read of each other longer lets it clear.
+    def _longer(self, late_us: float) -> float:  # for how long to keep off what was late, or did not answer
+        # When many routers each try a jammed reader or link again once its lateness is worked off, they feed
+        # the jam for good: its queue is work whose clients left. A read of each other longer lets it clear.
         over = min(max(late_us / self.least_aim - LATE_AIM_PART, 0.0), 1.0)
-        server.late_us, server.late_at = late_us + over * (self.set.instances - 1) * self.own_us, self.now
+        return late_us + over * (self.set.instances - 1) * self.own_us
 
-    def _slow(self, cell: int) -> int:  # what a state waits on its way out of a cell, by what we saw
+    def _slow(self, cell: int) -> float:  # what a state waits on its way out of a cell, by what we saw
         # A slowed or crowded link, or full writers elsewhere: what is read there is written too late.
-        took, at = self.links.get(cell, (0, self.now))
+        took, at = self.links.get(cell, (0.0, self.now))
         return took - (self.now - at)
 
     def _moved(self, r: Open, server: Server, sent: int | None, first: bool) -> None:
         if sent is not None and r.reader is not None and (cell := r.reader.entry.cell) != server.entry.cell:
-            took = self.now - sent
+            took = self._longer(self.now - sent)
             self.links[cell] = (took if first else max(took, self._slow(cell))), self.now
 
     def _order(self, key: str) -> list[Server]:  # the same at every router; kept, as ranking a fleet is dear
@@ -403,7 +403,7 @@
         elif status in (i.Status.CONNECT_FAILED, i.Status.RESET):
             self._strike(server, status.value)
         if status in (i.Status.FULL, i.Status.TIMEOUT) and server.role is i.Role.READ:
-            self._lag(server, max(event.latency_us, self.least_aim))
+            server.late_us, server.late_at = self._longer(max(event.latency_us, self.least_aim)), self.now
         if r is None:
             if status is i.Status.READ:  # read for a request that has ended: nothing may stay pinned
                 self.acts.append(i.Discard(event.request))
@@ -440,7 +440,7 @@
         self.read_tokens += SMOOTH * (r.backlog - self.read_tokens)
         self.best_rate = max(self.best_rate, tokens / max(event.latency_us, self.set.tick_us))
         self.own_us += SMOOTH * (tokens / self.best_rate - self.own_us)
-        self._lag(server, event.latency_us - tokens / self.best_rate)
+        server.late_us, server.late_at = self._longer(event.latency_us - tokens / self.best_rate), self.now
 
     def _drop_held(self, r: Open) -> None:  # nothing stays pinned
         self._unplace(r)
