--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -288,6 +288,17 @@
     assert send("y") == [1]
 
 
+def test_reader_full_for_one_tenant_is_not_late_for_the_others() -> None:
+    router = Router("rw", instances=100)
+    router.policy.own_us = 100_000.0
+    assert sends(router.feed(i.Request(1, "safe", router.now + LIFE, 500.0, tenant="x"))) == [1]
+    router.now += 50 * MS
+    router.end(1, 0, 1, i.Status.FULL)
+    router.feed(i.Hangup(1))
+    router.next = 1
+    assert sends(router.ask()) == [1]
+
+
 def test_cell_with_few_writers_writes_elsewhere_in_part() -> None:
     """Cells with five readers and one writer filled it while others idled; no router could see it."""
     router = Router("rrrwrwww", "00001111", instances=100)
--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -402,8 +402,8 @@
             server.full[r.ask.tenant] = self.now + pause, times + 1
         elif status in (i.Status.CONNECT_FAILED, i.Status.RESET):
             self._strike(server, status.value)
-        if status in (i.Status.FULL, i.Status.TIMEOUT) and server.role is i.Role.READ:
-            server.late_us, server.late_at = self._longer(max(event.latency_us, self.least_aim)), self.now
+        if status is i.Status.TIMEOUT and server.role is i.Role.READ:
+            server.late_us, server.late_at = self._longer(event.latency_us), self.now
         if r is None:
             if status is i.Status.READ:  # read for a request that has ended: nothing may stay pinned
                 self.acts.append(i.Discard(event.request))
