--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -403,7 +403,7 @@
         elif status in (i.Status.CONNECT_FAILED, i.Status.RESET):
             self._strike(server, status.value)
         if status is i.Status.TIMEOUT and server.role is i.Role.READ:
-            server.late_us, server.late_at = self._longer(event.latency_us), self.now
+            server.late_us, server.late_at = self._longer(max(event.latency_us, self.least_aim)), self.now
         if r is None:
             if status is i.Status.READ:  # read for a request that has ended: nothing may stay pinned
                 self.acts.append(i.Discard(event.request))
