--- /dev/null
+++ b/yardspindle/api/__init__.py
@@ -0,0 +1,1 @@
+"""Fronts: HTTP serving, the OpenAI-style chat API, mapping to the interface's requests."""
--- /dev/null
+++ b/yardspindle/api/chat.py
@@ -0,0 +1,169 @@
+"""The chat API by OpenAI's public reference: checks a request's fields and finds what the router needs in it.
+
+Only the fields that the router acts on are decoded. All others, known or not, stay the bytes that the client sent
+and go to the engine so.
+"""
+
+from __future__ import annotations
+
+import hmac
+from dataclasses import dataclass
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+from yardspindle.api.errors import ApiError
+from yardspindle.core.config import Config
+from yardspindle.core.intake import Said
+from yardspindle.protocol import http1
+
+COMPLETIONS = b"/v1/chat/completions"
+MODELS = b"/v1/models"
+OPENING_ROLES = ("system", "developer")
+CountField = Annotated[int, Meta(ge=1, le=10_000_000)]
+
+
+class _Message(Struct):
+    role: Literal["system", "developer", "user", "assistant", "tool", "function"]
+    content: str | list[dict[str, Any]] | None = None
+
+
+class _StreamOptions(Struct):
+    include_usage: bool | None = None
+
+
+class _Fields(Struct):
+    """The fields that the router acts on."""
+
+    model: str
+    messages: Annotated[list[_Message], Meta(min_length=1)]
+    stream: bool | None = None
+    stream_options: _StreamOptions | None = None
+    max_tokens: CountField | None = None
+    max_completion_tokens: CountField | None = None
+    n: Annotated[int, Meta(ge=1, le=128)] | None = None
+    prompt_cache_key: str | None = None
+    metadata: dict[str, str] | None = None
+    tools: list[dict[str, Any]] | None = None
+
+
+@dataclass(slots=True)
+class ChatRequest:
+    """A checked request."""
+
+    fields: dict[str, msgspec.Raw]
+    stream: bool
+    usage_wanted: bool
+    said: Said
+
+
+_fields_decoder = msgspec.json.Decoder(_Fields)
+_raw_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
+
+
+class Keys:
+    """API keys and their tenants."""
+
+    def __init__(self, config: Config) -> None:
+        """With no tenants any key is accepted, and none."""
+        self._tenants = {key.encode(): row.name for row in config.tenants for key in row.keys}
+
+    def tenant(self, head: http1.RequestHead) -> str | None:
+        """The tenant of a request. Raises ApiError."""
+        if not self._tenants:
+            return None
+        scheme, _, given = (head.get(b"authorization") or b"").partition(b" ")
+        found: str | None = None
+        for key, tenant in self._tenants.items():  # all are compared: the time tells nothing of a key
+            if hmac.compare_digest(key, given.strip()) and scheme.lower() == b"bearer":
+                found = tenant
+        if found is None:
+            raise ApiError(401, "invalid_api_key", "No valid API key was given in the Authorization header.",
+                           headers=[(b"www-authenticate", b"Bearer")])
+        return found
+
+
+def check_head(head: http1.RequestHead) -> None:
+    """What can be said before the body. Raises ApiError."""
+    if head.method != b"POST":
+        raise ApiError(405, "method_not_allowed", "Use POST here.", headers=[(b"allow", b"POST")])
+    kind = (head.get(b"content-type") or b"application/json").split(b";")[0].strip().lower()
+    if kind != b"application/json":
+        raise ApiError(415, "unsupported_media_type", "The body must be application/json.")
+    if head.get(b"content-encoding") not in (None, b"identity"):
+        raise ApiError(415, "unsupported_media_type", "The body must not be compressed.")
+
+
+def parse(body: bytes, head: http1.RequestHead, tenant: str | None, model: str) -> ChatRequest:
+    """Check a body. Raises ApiError."""
+    try:
+        raw = _raw_decoder.decode(body)
+        fields = _fields_decoder.decode(body)
+    except msgspec.ValidationError as error:
+        reason, _, path = str(error).partition(" - at `")
+        param = path.rstrip("`").removeprefix("$").lstrip(".") or None
+        raise ApiError(400, "invalid_value", f"{param or 'body'}: {reason}", param) from None
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise ApiError(400, "invalid_json", f"The body is not JSON: {error}") from None
+    if fields.model != model:
+        raise ApiError(404, "model_not_found", f"The model `{fields.model[:100]}` does not exist.", "model")
+    if fields.stream_options is not None and not fields.stream:
+        raise ApiError(400, "invalid_value", "stream_options: only allowed when stream is true",
+                       "stream_options")
+    if "kv_transfer_params" in raw:
+        raise ApiError(400, "invalid_value", "kv_transfer_params: set by the router alone", "kv_transfer_params")
+    return ChatRequest(
+        raw, bool(fields.stream), bool(fields.stream_options and fields.stream_options.include_usage),
+        _said(fields, raw, head, tenant))
+
+
+def _said(fields: _Fields, raw: dict[str, msgspec.Raw], head: http1.RequestHead, tenant: str | None) -> Said:
+    texts = [_text(message) for message in fields.messages]
+    tools = bytes(raw["tools"]) if fields.tools else b""
+    leading = 0
+    while leading < len(texts) and fields.messages[leading].role in OPENING_ROLES:
+        leading += 1
+    metadata = fields.metadata or {}
+    return Said(
+        tenant=tenant,
+        cls=metadata.get("class") or _header(head, b"x-request-class"),
+        session=metadata.get("session") or _header(head, b"x-session-id"),
+        shared_opening=metadata.get("shared_opening") or fields.prompt_cache_key,
+        timeout_ms=_milliseconds("timeout_ms", metadata.get("timeout_ms")
+                                 or _header(head, b"x-request-timeout-ms"), 1.0),
+        client_timeout_ms=_milliseconds("x-stainless-read-timeout",
+                                        _header(head, b"x-stainless-read-timeout"), 1_000.0),
+        opening=tuple(part for part in (tools, *texts[:leading]) if part),
+        first=texts[leading] if leading < len(texts) else b"",
+        size=len(tools) + sum(len(text) for text in texts),
+        max_out=fields.max_completion_tokens or fields.max_tokens)
+
+
+def _text(message: _Message) -> bytes:
+    """A message's text; parts that are no text (images) are not counted as bytes of it."""
+    if isinstance(message.content, str):
+        return message.content.encode()
+    parts = (part.get("text") for part in message.content or [])
+    return "\n".join(part for part in parts if isinstance(part, str)).encode()
+
+
+def _header(head: http1.RequestHead, name: bytes) -> str | None:
+    value = head.get(name)
+    return value.decode("latin-1") if value else None
+
+
+def _milliseconds(param: str, value: str | None, unit_ms: float) -> float | None:
+    if value is None:
+        return None
+    try:
+        return float(value) * unit_ms
+    except ValueError:
+        if param == "x-stainless-read-timeout":  # a client's own note, not meant for us
+            return None
+        raise ApiError(400, "invalid_value", f"{param}: not a number of milliseconds", param) from None
+
+
+def model_object(model: str) -> dict[str, Any]:
+    """A model as the list has it."""
+    return {"id": model, "object": "model", "created": 0, "owned_by": "yardspindle"}
--- /dev/null
+++ b/yardspindle/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: one file a sub-command."""
--- /dev/null
+++ b/yardspindle/cli/common.py
@@ -0,0 +1,77 @@
+"""What the sub-commands share: logs, configuration, the program's run until a signal, one-line errors."""
+
+from __future__ import annotations
+
+import logging
+import os
+import sys
+from collections.abc import Callable
+
+import click
+import structlog
+
+from yardspindle.core.config import Config, ConfigError, LogConfig, parse
+from yardspindle.runtime.real import RealWorld
+
+LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
+
+
+class Failure(click.ClickException):
+    """One line on standard error, exit code 2."""
+
+    exit_code = 2
+
+    def show(self, file: object = None) -> None:
+        """Print the line."""
+        click.echo(self.message, err=True)
+
+
+def set_up_logs(config: LogConfig) -> None:
+    """Structured logs on standard error."""
+    renderer: structlog.typing.Processor = (
+        structlog.processors.JSONRenderer() if config.format == "json" else structlog.dev.ConsoleRenderer())
+    structlog.configure(
+        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"),
+                    structlog.processors.format_exc_info, renderer],
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS[config.level]),
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr), cache_logger_on_first_use=True)
+
+
+def load(path: str | None) -> Config:
+    """The configuration in a file, or the defaults."""
+    if path is None:
+        return parse("defaults", b"")
+    try:
+        with open(path, "rb") as file:
+            data = file.read()
+    except OSError as error:
+        raise Failure(f"{path}: {error.strerror}") from None
+    try:
+        return parse(path, data)
+    except ConfigError as error:
+        raise Failure(str(error)) from None
+
+
+def run_until_stopped(name: str, world: RealWorld, start: Callable[[], str], stop: Callable[[], None],
+                      where: str) -> None:
+    """Start, print the ready line, serve until a signal, stop. `where` names file and key in port errors."""
+
+    def program() -> None:
+        world.stop_on_signals()
+        try:
+            ready = start()
+        except ConfigError as error:
+            raise Failure(str(error)) from None
+        except OSError as error:
+            raise Failure(f"{where}: {os.strerror(error.errno) if error.errno else error}") from None
+        click.echo(f"ready {ready}")
+        sys.stdout.flush()
+        world.stop.wait()
+        stop()
+
+    def crashed(task: object, error: BaseException) -> None:
+        structlog.get_logger("yardspindle").error("task failed", task=getattr(task, "name", "?"),
+                                                  exc_info=error)
+
+    world.scheduler.on_crash = crashed
+    world.run(name, program)
--- /dev/null
+++ b/yardspindle/cli/config.py
@@ -0,0 +1,32 @@
+"""`yardspindle config check FILE`: says what is wrong with a configuration, or that nothing is."""
+
+from __future__ import annotations
+
+import click
+
+from yardspindle.cli.common import Failure, load
+from yardspindle.core.config import ConfigError
+from yardspindle.core.roster import parse_list
+
+
+@click.group("config")
+def config_group() -> None:
+    """Configuration files."""
+
+
+@config_group.command("check")
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--servers", type=click.Path(dir_okay=False), help="Check this server list too.")
+def check(file: str, servers: str | None) -> None:
+    """Check a configuration file; exit 0 when it can be used, else 2 with one line."""
+    config = load(file)
+    if servers is not None:
+        try:
+            with open(servers, "rb") as source:
+                document = parse_list(servers, source.read(), config)
+        except OSError as error:
+            raise Failure(f"{servers}: {error.strerror}") from None
+        except ConfigError as error:
+            raise Failure(str(error)) from None
+        click.echo(f"{servers}: {len(document.servers)} servers")
+    click.echo(f"{file}: {len(config.classes)} classes, {len(config.kinds)} kinds, {len(config.tenants)} tenants")
--- /dev/null
+++ b/yardspindle/cli/edge.py
@@ -0,0 +1,25 @@
+"""`yardspindle edge FILE`: one edge."""
+
+from __future__ import annotations
+
+import click
+
+from yardspindle.cli.common import load, run_until_stopped, set_up_logs
+from yardspindle.edge.app import Edge
+from yardspindle.runtime.real import RealWorld
+
+
+@click.command("edge")
+@click.argument("file", type=click.Path(dir_okay=False))
+def edge_command(file: str) -> None:
+    """Run an edge: it holds client connections and carries out what its planner decides."""
+    config = load(file)
+    set_up_logs(config.log)
+    world = RealWorld()
+    edge = Edge(world, config)
+
+    def start() -> str:
+        host, port = edge.start()
+        return f"http://{host}:{port}/v1"
+
+    run_until_stopped("edge", world, start, edge.drain, f"{file}: edge.listen: {config.edge.listen}")
--- /dev/null
+++ b/yardspindle/cli/engine.py
@@ -0,0 +1,35 @@
+"""`yardspindle engine`: one stand-in engine, for trying the router without a model."""
+
+from __future__ import annotations
+
+import click
+import msgspec
+
+from yardspindle.cli.common import Failure, run_until_stopped
+from yardspindle.lab.engine import Engine, EngineSettings
+from yardspindle.runtime.real import RealWorld
+
+
+@click.command("engine")
+@click.option("--settings", "file", type=click.Path(dir_okay=False), help="JSON file with its settings.")
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", default=0, type=click.IntRange(0, 65_535), help="0: chosen by the system.")
+def engine_command(file: str | None, host: str, port: int) -> None:
+    """Run a stand-in engine that reads, writes, or both; no model is behind it."""
+    settings = EngineSettings()
+    if file is not None:
+        try:
+            with open(file, "rb") as source:
+                settings = msgspec.json.decode(source.read(), type=EngineSettings)
+        except OSError as error:
+            raise Failure(f"{file}: {error.strerror}") from None
+        except msgspec.DecodeError as error:
+            raise Failure(f"{file}: {error}") from None
+    world = RealWorld()
+    engine = Engine(world, settings)
+
+    def start() -> str:
+        at = engine.start(host, port)
+        return f"http://{at[0]}:{at[1]}/v1"
+
+    run_until_stopped("engine", world, start, lambda: None, f"--port: {host}:{port}")
--- /dev/null
+++ b/yardspindle/cli/main.py
@@ -0,0 +1,21 @@
+"""The command line's root."""
+
+from __future__ import annotations
+
+import click
+
+from yardspindle.cli.config import config_group
+from yardspindle.cli.edge import edge_command
+from yardspindle.cli.engine import engine_command
+from yardspindle.cli.plan import plan_command
+from yardspindle.cli.up import up_command
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="yardspindle")
+def main() -> None:
+    """A router for language models that read prompts and write answers on separate engines."""
+
+
+for command in (up_command, edge_command, plan_command, engine_command, config_group):
+    main.add_command(command)
--- /dev/null
+++ b/yardspindle/cli/plan.py
@@ -0,0 +1,25 @@
+"""`yardspindle plan FILE`: one planner."""
+
+from __future__ import annotations
+
+import click
+
+from yardspindle.cli.common import load, run_until_stopped, set_up_logs
+from yardspindle.planner.app import Planner
+from yardspindle.runtime.real import RealWorld
+
+
+@click.command("plan")
+@click.argument("file", type=click.Path(dir_okay=False))
+def plan_command(file: str) -> None:
+    """Run a planner: it follows the server list and decides for the edges that link to it."""
+    config = load(file)
+    set_up_logs(config.log)
+    world = RealWorld()
+    planner = Planner(world, config)
+
+    def start() -> str:
+        host, port = planner.start()
+        return f"link://{host}:{port}"
+
+    run_until_stopped("planner", world, start, lambda: None, f"{file}: planner.listen: {config.planner.listen}")
--- /dev/null
+++ b/yardspindle/cli/up.py
@@ -0,0 +1,36 @@
+"""`yardspindle up`: one dispatcher and stand-in engines on loopback, with nothing configured and nothing left."""
+
+from __future__ import annotations
+
+import click
+
+from yardspindle.cli.common import Failure, run_until_stopped, set_up_logs
+from yardspindle.core.config import LogConfig
+from yardspindle.lab.fleet import small_fleet
+from yardspindle.runtime.process import ChildError
+from yardspindle.runtime.real import RealWorld
+
+
+@click.command("up")
+@click.option("--port", default=0, type=click.IntRange(0, 65_535), help="0: chosen by the system.")
+@click.option("--cells", default=2, show_default=True, type=click.IntRange(1, 16),
+              help="Cells, each of a reader and a writer.")
+def up_command(port: int, cells: int) -> None:
+    """Start a whole router with stand-in engines; the first line says where it serves."""
+    set_up_logs(LogConfig(format="console"))
+    world = RealWorld()
+    fleet = small_fleet(world, cells)
+    fleet.dispatchers[0].port = port
+
+    def start() -> str:
+        try:
+            fleet.start()
+        except ChildError as error:
+            fleet.stop()
+            raise Failure(str(error)) from None
+        return f"http://127.0.0.1:{fleet.dispatchers[0].port}/v1"
+
+    def stop() -> None:
+        fleet.stop()
+
+    run_until_stopped("up", world, start, stop, "up")
--- /dev/null
+++ b/yardspindle/core/commands.py
@@ -0,0 +1,115 @@
+"""What the edge's core tells its I/O to do. Plain data; nothing here decides."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from yardspindle import interface as i
+from yardspindle.core.directory import Server
+
+
+class Final(Enum):
+    """The kinds of final answer."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Read:
+    """Start an attempt at a reader, given up at `until_us`."""
+
+    request: int
+    attempt: int
+    server: Server
+    until_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """Start an attempt at a writer (or, without a state, at a server that does both)."""
+
+    request: int
+    attempt: int
+    server: Server
+    until_us: int
+    state: Any
+    place: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class AskPlace:
+    """Ask a writer to hold a place; `place` numbers the asking within the request."""
+
+    request: int
+    place: int
+    server: Server
+    tokens: float
+    reader: Server
+    read_attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseState:
+    """Let go of the state that an attempt's read left at a reader, or may yet leave."""
+
+    request: int
+    attempt: int
+    server: Server
+
+
+@dataclass(frozen=True, slots=True)
+class ReleasePlace:
+    """Let go of a place at a writer."""
+
+    request: int
+    place: int
+    server: Server
+
+
+@dataclass(frozen=True, slots=True)
+class Abort:
+    """Stop an attempt: close its connection; nothing more is heard of it."""
+
+    request: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The one final answer. A served one has been streamed; this ends it."""
+
+    request: int
+    final: Final
+    code: str
+    retry_after_us: int = 0
+    streamed: bool = False  # tokens have gone to the client
+
+
+@dataclass(frozen=True, slots=True)
+class CloseIdle:
+    """Shut the idle connections to a server."""
+
+    server: Server
+
+
+@dataclass(frozen=True, slots=True)
+class TellPlanner:
+    """An event for the policy."""
+
+    event: i.Event
+
+
+@dataclass(frozen=True, slots=True)
+class Warn:
+    """A rule would have been broken; the thing asked for was not done."""
+
+    request: int
+    rule: str
+
+
+Command = (Read | Write | AskPlace | ReleaseState | ReleasePlace | Abort | Answer | CloseIdle | TellPlanner
+           | Warn)
--- /dev/null
+++ b/yardspindle/core/config.py
@@ -0,0 +1,247 @@
+"""The configuration: one TOML file for edge and planner, checked whole before anything starts.
+
+A fault is one line that names the file, the key and the reason. Times are in milliseconds, as people write them;
+the programs use microseconds. Defaults serve a small fleet on one machine.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from typing import Annotated, Any, Literal, TypeVar
+
+import msgspec
+import xxhash
+from msgspec import Meta, Struct, field
+
+from yardspindle import interface as i
+from yardspindle.core.lifecycle import EdgeRules
+
+T = TypeVar("T")
+
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+Part = Annotated[float, Meta(gt=0, le=1)]
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:-]{0,63}$")]
+Address = Annotated[str, Meta(pattern=r"^(\[[0-9a-fA-F:]+\]|[0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}$")]
+
+
+class ConfigError(Exception):
+    """One line: file, key, reason."""
+
+
+class ClassConfig(Struct, forbid_unknown_fields=True, frozen=True):
+    """A class of requests: what its clients want, and what a repeat may do."""
+
+    name: Name
+    effect: Literal["safe", "keyed", "unsafe"] = "safe"
+    aim_ms: Positive = 1_500.0
+    give_up_ms: Positive = 7_500.0
+    aim_ms_per_1000_prompt_tokens: NotNegative = 0.0
+    token_aim_ms: NotNegative = 0.0
+    worth: Positive = 1.0
+    late_worth: NotNegative = 0.0
+
+
+class KindConfig(Struct, forbid_unknown_fields=True, frozen=True):
+    """A machine kind."""
+
+    name: Name
+    role: Literal["read", "write", "both"]
+    memory_tokens: NotNegative = 0.0
+
+
+class TenantConfig(Struct, forbid_unknown_fields=True, frozen=True):
+    """A customer and the keys that its clients send."""
+
+    name: Name
+    keys: tuple[Annotated[str, Meta(min_length=8, max_length=256)], ...]
+    share: NotNegative = 0.0
+    quota_per_s: NotNegative = 0.0
+
+
+class RulesConfig(Struct, forbid_unknown_fields=True, frozen=True):
+    """The figures of the rules, as the fleet's operators promise them."""
+
+    release_ms: Positive = 300.0
+    drain_grace_ms: NotNegative = 500.0
+    cold_ms: NotNegative = 14_000.0
+    start_capacity: Part = 0.26
+    fall_multiple: Positive = 2.5
+    fall_ms: NotNegative = 2_000.0
+    answer_slack_ms: Positive = 40.0
+    answer_margin_ms: Positive = 80.0
+    max_attempts: Annotated[int, Meta(ge=2, le=32)] = 6
+    max_retry_after_ms: NotNegative = 2_000.0
+
+
+class EdgeConfig(Struct, forbid_unknown_fields=True, frozen=True):
+    """The edge: where it listens and what it accepts."""
+
+    listen: Address = "127.0.0.1:0"
+    planner: Address = "127.0.0.1:7600"
+    zone: str = "local"
+    number: Annotated[int, Meta(ge=0)] = 0
+    dispatchers: Annotated[int, Meta(ge=1)] = 1
+    max_open_requests: Annotated[int, Meta(ge=1)] = 20_000
+    max_body_bytes: Annotated[int, Meta(ge=1_024)] = 16_777_216
+    idle_ms: Positive = 75_000.0
+    header_ms: Positive = 10_000.0
+    stalled_client_ms: Positive = 15_000.0
+    drain_ms: NotNegative = 30_000.0
+    connect_ms: Positive = 1_000.0
+    engine_idle_ms: Positive = 4_000.0
+    stalled_stream_ms: Positive = 30_000.0
+    default_class: Name | None = None
+    default_max_tokens: Annotated[int, Meta(ge=1)] = 1_024
+
+
+class PlannerConfig(Struct, forbid_unknown_fields=True, frozen=True):
+    """The planner: where edges reach it, and its server list."""
+
+    listen: Address = "127.0.0.1:7600"
+    servers: Annotated[str, Meta(min_length=1)] = "servers.toml"
+    reread_ms: Positive = 200.0
+    metrics: Address | None = None
+
+
+class LogConfig(Struct, forbid_unknown_fields=True, frozen=True):
+    """Logs go to standard error."""
+
+    format: Literal["json", "console"] = "json"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+DEFAULT_CLASSES = (ClassConfig("chat", "safe"), ClassConfig("order", "unsafe", worth=3.0))
+DEFAULT_KINDS = (KindConfig("reader", "read", 200_000), KindConfig("writer", "write", 160_000))
+
+
+class Config(Struct, forbid_unknown_fields=True, frozen=True):
+    """The whole file."""
+
+    model: Annotated[str, Meta(min_length=1, max_length=200)] = "yardspindle-demo"
+    classes: tuple[ClassConfig, ...] = DEFAULT_CLASSES
+    kinds: tuple[KindConfig, ...] = DEFAULT_KINDS
+    tenants: tuple[TenantConfig, ...] = ()
+    rules: RulesConfig = field(default_factory=RulesConfig)
+    edge: EdgeConfig = field(default_factory=EdgeConfig)
+    planner: PlannerConfig = field(default_factory=PlannerConfig)
+    log: LogConfig = field(default_factory=LogConfig)
+
+
+def parse(file: str, data: bytes) -> Config:
+    """Check a configuration. Raises ConfigError."""
+    config = decode_toml(file, data, Config)
+    _unique(file, "classes", [row.name for row in config.classes])
+    _unique(file, "kinds", [row.name for row in config.kinds])
+    _unique(file, "tenants", [row.name for row in config.tenants], may_be_empty=True)
+    keys = [key for row in config.tenants for key in row.keys]
+    if len(set(keys)) < len(keys):
+        raise ConfigError(f"{file}: tenants: a key comes twice")
+    for row in config.classes:
+        if row.aim_ms > row.give_up_ms:
+            raise ConfigError(f"{file}: classes.{row.name}.aim_ms: over give_up_ms ({row.give_up_ms:g})")
+        if row.give_up_ms <= 2 * config.rules.answer_margin_ms:
+            raise ConfigError(f"{file}: classes.{row.name}.give_up_ms: not over twice rules.answer_margin_ms")
+    if config.rules.answer_slack_ms >= config.rules.answer_margin_ms:
+        raise ConfigError(f"{file}: rules.answer_slack_ms: not under answer_margin_ms "
+                          f"({config.rules.answer_margin_ms:g})")
+    roles = {row.role for row in config.kinds}
+    if "both" not in roles and roles != {"read", "write"}:
+        raise ConfigError(f"{file}: kinds: no kind that reads, or none that writes")
+    if config.edge.number >= config.edge.dispatchers:
+        raise ConfigError(f"{file}: edge.number: not under edge.dispatchers ({config.edge.dispatchers})")
+    if config.edge.default_class is not None and config.edge.default_class not in {r.name for r in config.classes}:
+        raise ConfigError(f"{file}: edge.default_class: no such class: {config.edge.default_class}")
+    for key, address in (("edge.listen", config.edge.listen), ("edge.planner", config.edge.planner),
+                         ("planner.listen", config.planner.listen), ("planner.metrics", config.planner.metrics)):
+        if address is not None and not _is_address(address):
+            raise ConfigError(f"{file}: {key}: not an address with a port up to 65535: {address}")
+    return config
+
+
+def decode_toml(file: str, data: bytes, kind: type[T]) -> T:
+    """TOML bytes as a checked value. Raises ConfigError naming file, key and reason."""
+    try:
+        raw: Any = tomllib.loads(data.decode())
+    except UnicodeDecodeError as error:
+        raise ConfigError(f"{file}: byte {error.start}: not UTF-8") from None
+    except tomllib.TOMLDecodeError as error:
+        raise ConfigError(f"{file}: not TOML: {error}") from None
+    try:
+        return msgspec.convert(raw, kind)
+    except msgspec.ValidationError as error:
+        raise ConfigError(f"{file}: {_plain(str(error))}") from None
+
+
+def _plain(message: str) -> str:
+    reason, _, path = message.partition(" - at `")
+    key = path.rstrip("`").removeprefix("$").lstrip(".") or "(top)"
+    unknown = re.fullmatch(r"Object contains unknown field `(.*)`", reason)
+    if unknown is not None:
+        return f"{key}.{unknown[1]}: unknown key".removeprefix("(top).")
+    missing = re.fullmatch(r"Object missing required field `(.*)`", reason)
+    if missing is not None:
+        return f"{key}.{missing[1]}: missing".removeprefix("(top).")
+    return f"{key}: {reason[:1].lower()}{reason[1:]}"
+
+
+def _unique(file: str, key: str, names: list[str], may_be_empty: bool = False) -> None:
+    if not names and not may_be_empty:
+        raise ConfigError(f"{file}: {key}: empty")
+    for name in names:
+        if names.count(name) > 1:
+            raise ConfigError(f"{file}: {key}: {name} comes twice")
+
+
+def _is_address(address: str) -> bool:
+    host, port = split_address(address)
+    numbers = host.split(".") if ":" not in host else []
+    return port <= 65_535 and all(int(n) <= 255 for n in numbers)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Host and port of `127.0.0.1:80` or `[::1]:80`."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def microseconds(milliseconds: float) -> int:
+    """Milliseconds as whole microseconds."""
+    return round(milliseconds * 1_000)
+
+
+def policy_settings(config: Config, number: int, dispatchers: int, zone: str) -> i.Settings:
+    """What the policy of one edge is told at its start."""
+    us = microseconds
+    rules = config.rules
+    return i.Settings(
+        me=number, instances=dispatchers, zone=zone,
+        classes=tuple(i.RequestClass(
+            row.name, aim_us=us(row.aim_ms), give_up_us=us(row.give_up_ms), effect=i.Effect(row.effect),
+            worth=row.worth, late_worth=row.late_worth,
+            aim_us_per_1000_prompt_tokens=us(row.aim_ms_per_1000_prompt_tokens),
+            token_aim_us=us(row.token_aim_ms)) for row in config.classes),
+        kinds=tuple(i.Kind(row.name, i.Role(row.role), row.memory_tokens) for row in config.kinds),
+        tenants=tuple(i.Tenant(row.name, row.share, row.quota_per_s) for row in config.tenants),
+        release_us=us(rules.release_ms), drain_grace_us=us(rules.drain_grace_ms), cold_us=us(rules.cold_ms),
+        start_capacity=rules.start_capacity, fall_multiple=rules.fall_multiple, fall_us=us(rules.fall_ms),
+        answer_slack_us=us(rules.answer_slack_ms), max_attempts=rules.max_attempts, cancel=True,
+        retry_after=True, max_retry_after_us=us(rules.max_retry_after_ms))
+
+
+def edge_rules(config: Config) -> EdgeRules:
+    """What the edge's interlocks are told."""
+    rules = config.rules
+    return EdgeRules(
+        effects={row.name: i.Effect(row.effect) for row in config.classes},
+        release_us=microseconds(rules.release_ms), drain_grace_us=microseconds(rules.drain_grace_ms),
+        answer_slack_us=microseconds(rules.answer_slack_ms),
+        retry_after_us=microseconds(rules.max_retry_after_ms), max_attempts=rules.max_attempts,
+        most_open=config.edge.max_open_requests)
+
+
+def settings_hash(config: Config) -> str:
+    """What edge and planner must agree on: classes, kinds, tenants and rules."""
+    shared = (config.classes, config.kinds, [row.name for row in config.tenants], config.rules)
+    return xxhash.xxh3_64_hexdigest(msgspec.json.encode(shared))
--- /dev/null
+++ b/yardspindle/core/directory.py
@@ -0,0 +1,50 @@
+"""Which server is where, as the edge was told: addresses, roles, and since when one takes no new work."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from yardspindle.interface import Role, State
+
+
+@dataclass(slots=True)
+class Server:
+    """An engine as the edge knows it. `number` is the planner's and means nothing to another planner's start."""
+
+    number: int
+    name: str
+    host: str
+    port: int
+    role: Role
+    state: State
+    places: bool  # it has our extension: places ahead and releases
+    closed_us: int = 0  # since when the edge knows that it drains or is gone; 0 while it serves
+
+
+@dataclass(slots=True)
+class Directory:
+    """The servers of one planner's start. A server that leaves the list stays known, as gone."""
+
+    servers: dict[int, Server] = field(default_factory=dict)
+
+    def replace(self, now_us: int, listed: list[Server]) -> None:
+        """Take a complete list; the time since when one is closed is kept from its first news."""
+        fresh = {server.number: server for server in listed}
+        for number, known in self.servers.items():
+            if number not in fresh:
+                known.state = State.GONE
+                fresh[number] = known
+        for server in fresh.values():
+            before = self.servers.get(server.number)
+            if server.state is State.SERVING:
+                server.closed_us = 0
+            else:
+                server.closed_us = (before.closed_us if before is not None else 0) or now_us
+        self.servers = fresh
+
+    def open_for(self, number: int, now_us: int, grace_us: int) -> Server | None:
+        """The server, if new work may still go there; the rule on drains is kept here whatever a planner says."""
+        server = self.servers.get(number)
+        if server is None or (server.closed_us and now_us > server.closed_us + grace_us):
+            return None
+        return server
--- /dev/null
+++ b/yardspindle/edge/__init__.py
@@ -0,0 +1,1 @@
+"""The edge: holds client connections and attempts, carries out what the planner decides."""
--- /dev/null
+++ b/yardspindle/edge/app.py
@@ -0,0 +1,236 @@
+"""The edge as a program: routes, one handler for chat requests, the core's clock, start and drain."""
+
+from __future__ import annotations
+
+import msgspec
+import structlog
+
+from yardspindle import interface as i
+from yardspindle.api import chat
+from yardspindle.api.errors import JSON, ApiError, error_body, final_reply
+from yardspindle.api.serving import Exchange, Reply, Server, ServingLimits
+from yardspindle.core.answer import DONE, AnswerState, Collected, http_of
+from yardspindle.core.commands import Final
+from yardspindle.core.config import Config, edge_rules, microseconds, settings_hash, split_address
+from yardspindle.core.intake import Intake, IntakeError
+from yardspindle.core.lifecycle import Lifecycle
+from yardspindle.edge.executor import Executor, Running, served_body
+from yardspindle.edge.metrics import EdgeMetrics
+from yardspindle.edge.planner_link import PlannerLink
+from yardspindle.engine.http_client import HttpClient
+from yardspindle.engine.vllm import EngineClient
+from yardspindle.link import frames
+from yardspindle.protocol import http1
+from yardspindle.protocol.sse import write_event
+from yardspindle.runtime.scheduler import DeadlineExceeded
+from yardspindle.runtime.world import StreamError, World
+
+TICK_US = 20_000  # how often the core's own deadlines are looked at; as often as the policy's
+CLOSE_OLD_US = 1_000_000
+FIRST_PLANNER_US = 2_000_000  # how long "ready" waits for a planner; an edge without one only refuses
+STREAM_HEADERS: http1.Headers = [
+    (b"content-type", b"text/event-stream; charset=utf-8"), (b"cache-control", b"no-cache")]
+
+log = structlog.get_logger("yardspindle.edge")
+
+
+class Edge:
+    """One edge."""
+
+    def __init__(self, world: World, config: Config) -> None:
+        """Nothing is opened before `start`."""
+        self.world = world
+        self.config = config
+        self._unique = f"{world.random('edge id').getrandbits(48):012x}"
+        self._unsafe = {row.name for row in config.classes if row.effect != "safe"}
+        self._keys = chat.Keys(config)
+        self.metrics = EdgeMetrics()
+        self.core = Lifecycle(edge_rules(config))
+        self.intake = Intake(config)
+        edge = config.edge
+        self.http = HttpClient(world, microseconds(edge.connect_ms), microseconds(edge.engine_idle_ms))
+        self.link = PlannerLink(
+            world, split_address(edge.planner), self._hello, self._planner_up, self._planner_down,
+            lambda servers: self.executor.perform(self.core.servers(world.now_us(), servers)), self._actions)
+        self.executor = Executor(world, self.core, EngineClient(self.http, self._unique), self.metrics,
+                                 self.intake, microseconds(edge.stalled_stream_ms), self.link.tell)
+        self.limits = ServingLimits(http1.Limits(body=edge.max_body_bytes), microseconds(edge.idle_ms),
+                                    microseconds(edge.header_ms), microseconds(edge.stalled_client_ms))
+        self._numbers = 0
+        self._server: Server | None = None
+
+    # --- program
+
+    def start(self) -> tuple[str, int]:
+        """Listen and serve; gives the address once a planner decides, or after a while without. Raises OSError."""
+        listener = self.world.listen(*split_address(self.config.edge.listen))
+        self._server = Server(self.world, listener, self, self.limits, _fault)
+        self.world.spawn("accept", self._server.serve)
+        self.world.spawn("planner link", self.link.run)
+        self.world.spawn("tick", self._tick)
+        try:
+            with self.world.deadline(self.world.now_us() + FIRST_PLANNER_US):
+                self.link.came_up.wait()
+        except DeadlineExceeded:
+            log.warning("no planner yet; requests are refused until one is there")
+        return listener.host, listener.port
+
+    def drain(self) -> None:
+        """Take no more, let what runs end, then leave."""
+        assert self._server is not None
+        log.info("draining", open_requests=len(self.executor.running))
+        self._server.drain(self.world.now_us() + microseconds(self.config.edge.drain_ms))
+        self.http.close_all()
+
+    def _tick(self) -> None:
+        closed_us = self.world.now_us()
+        while True:
+            now = self.world.now_us()
+            self.world.sleep_until(now + TICK_US)
+            if self.core.open:
+                self.executor.perform(self.core.tick(self.world.now_us()))
+            if now - closed_us > CLOSE_OLD_US:
+                closed_us = now
+                self.http.close_old()
+
+    # --- planner
+
+    def _hello(self) -> frames.Hello:
+        edge = self.config.edge
+        return frames.Hello(frames.VERSION, edge.number, edge.dispatchers, edge.zone, self.world.now_us(),
+                            settings_hash(self.config))
+
+    def _planner_up(self, epoch: int) -> None:
+        self.metrics.planner_up.set(1)
+        self.executor.perform(self.core.planner_up(self.world.now_us(), epoch))
+
+    def _planner_down(self) -> None:
+        self.metrics.planner_up.set(0)
+        self.executor.perform(self.core.planner_down(self.world.now_us()))
+
+    def _actions(self, epoch: int, actions: list[i.Action]) -> None:
+        for action in actions:
+            self.executor.perform(self.core.act(self.world.now_us(), epoch, action))
+
+    # --- routes
+
+    def early(self, head: http1.RequestHead) -> Reply | None:
+        """See Handler."""
+        path = head.target.partition(b"?")[0]
+        try:
+            if path == chat.COMPLETIONS:
+                self._keys.tenant(head)
+                chat.check_head(head)
+                return None
+            if path != chat.MODELS and not path.startswith(chat.MODELS + b"/") and path not in (
+                    b"/metrics", b"/healthz"):
+                raise ApiError(404, "not_found", "There is nothing at this path.")
+            if head.method not in (b"GET", b"HEAD"):
+                raise ApiError(405, "method_not_allowed", "Use GET here.", headers=[(b"allow", b"GET, HEAD")])
+            return self._page(path, head)
+        except ApiError as error:
+            return error.reply()
+
+    def _page(self, path: bytes, head: http1.RequestHead) -> Reply:
+        if path == b"/metrics":
+            self.metrics.open_requests.set(len(self.core.open))
+            self.metrics.connections.set(self._server.connections if self._server else 0)
+            return Reply(200, [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")],
+                         self.metrics.text())
+        if path == b"/healthz":
+            return Reply(200 if self.core.epoch else 503, [JSON],
+                         msgspec.json.encode({"planner": bool(self.core.epoch)}))
+        self._keys.tenant(head)
+        model = chat.model_object(self.config.model)
+        if path == chat.MODELS:
+            return Reply(200, [JSON], msgspec.json.encode({"object": "list", "data": [model]}))
+        if path[len(chat.MODELS) + 1:] != self.config.model.encode():
+            raise ApiError(404, "model_not_found", "There is no such model.", "model")
+        return Reply(200, [JSON], msgspec.json.encode(model))
+
+    def malformed(self, error: http1.ProtocolError) -> Reply:
+        """See Handler."""
+        return Reply(error.status, [JSON], error_body("malformed_request", error.reason, "invalid_request_error"))
+
+    # --- a chat request
+
+    def handle(self, exchange: Exchange) -> None:
+        """See Handler."""
+        try:
+            run = self._take(exchange)
+        except ApiError as error:
+            exchange.reply(error.reply())
+            return
+        number = run.taken.request.request
+        self.executor.running[number] = run
+        try:
+            exchange.on_gone = lambda: self._gone(run)
+            self.executor.perform(self.core.arrive(run.came_us, run.taken.request))
+            run.done.wait()
+            self._finish(run)
+        finally:
+            if run.answer is None:  # however this ends, the core must hear of it
+                self.executor.perform(self.core.client_left(self.world.now_us(), number))
+                self.metrics.left.labels(run.taken.request.cls).inc()
+            del self.executor.running[number]
+            self._log(run)
+
+    def _take(self, exchange: Exchange) -> Running:
+        tenant = self._keys.tenant(exchange.head)
+        asked = chat.parse(exchange.body, exchange.head, tenant, self.config.model)
+        exchange.body = b""
+        now = self.world.now_us()
+        self._numbers += 1
+        try:
+            taken = self.intake.take(now, self._numbers, asked.said)
+        except IntakeError as error:
+            raise ApiError(400, "invalid_value", str(error), error.param) from None
+        request_id = f"req-{self._unique}-{self._numbers}"
+        head = b""
+        if asked.stream:
+            head = exchange.start(200, [*STREAM_HEADERS, (b"x-request-id", request_id.encode())])
+        return Running(taken, request_id, asked.fields, exchange, head, asked.stream,
+                       AnswerState(asked.usage_wanted or not asked.stream),
+                       None if asked.stream else Collected(), now, self.world.signal())
+
+    def _gone(self, run: Running) -> None:
+        if run.answer is None:
+            self.executor.perform(self.core.client_left(self.world.now_us(), run.taken.request.request))
+        run.done.set()
+
+    def _finish(self, run: Running) -> None:
+        answer, exchange = run.answer, run.exchange
+        if answer is None:
+            raise StreamError("the client left")
+        self.metrics.finals.labels(run.taken.request.cls, answer.final.value, answer.code).inc()
+        request_id = run.request_id.encode()
+        if answer.final is Final.SERVED:
+            if run.stream:
+                exchange.finish(write_event(DONE))
+            else:
+                exchange.reply(Reply(200, [JSON, (b"x-request-id", request_id)], served_body(run)))
+        elif answer.streamed and run.stream:
+            error = error_body(answer.code, http_of(answer, True).message, "server_error")
+            exchange.send(write_event(error, b"error"), run.head)
+            exchange.break_off()
+        elif run.client_error is not None and not answer.streamed:
+            status, body = run.client_error  # the engine says that the request itself is at fault
+            exchange.reply(Reply(status, [JSON, (b"x-request-id", request_id)], body))
+        else:
+            final = http_of(answer, run.taken.request.cls in self._unsafe)
+            exchange.reply(final_reply(final, request_id))
+
+    def _log(self, run: Running) -> None:
+        now, request, answer = self.world.now_us(), run.taken.request, run.answer
+        counts = run.state.counts
+        log.info("request", request_id=run.request_id, cls=request.cls, tenant=request.tenant,
+                 final=answer.final.value if answer else "left", code=answer.code if answer else "client_left",
+                 stream=run.stream, events=run.state.events, total_ms=(now - run.came_us) // 1_000,
+                 first_ms=(run.first_us - run.came_us) // 1_000 if run.first_us else None,
+                 prompt_tokens=counts.prompt if counts else None,
+                 completion_tokens=counts.completion if counts else None)
+
+
+def _fault(error: BaseException) -> None:
+    if not isinstance(error, (StreamError, DeadlineExceeded)):
+        log.error("request handler failed", fault=f"{type(error).__name__}: {error}", exc_info=error)
--- /dev/null
+++ b/yardspindle/edge/executor.py
@@ -0,0 +1,266 @@
+"""Carries out the core's commands: attempts, places and releases as tasks, answers to the requests' handlers.
+
+Commands are carried out in the task that got them and never wait there: whatever waits for a peer is a task of
+its own, so that a slow engine or client holds up nothing but its own request.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import structlog
+
+from yardspindle import interface as i
+from yardspindle.api.serving import Exchange
+from yardspindle.core import commands as c
+from yardspindle.core.answer import AnswerState, Collected
+from yardspindle.core.commands import Final
+from yardspindle.core.intake import Intake, Taken
+from yardspindle.core.lifecycle import Lifecycle
+from yardspindle.edge.metrics import EdgeMetrics
+from yardspindle.engine import vllm
+from yardspindle.engine.http_client import ExchangeBroken
+from yardspindle.protocol.sse import write_event
+from yardspindle.runtime.scheduler import Cancelled, DeadlineExceeded, Signal, Task
+from yardspindle.runtime.world import StreamError, World
+
+RELEASE_US = 2_000_000  # for one try of a release; the engine's own time-out covers what is never heard
+RELEASE_TRIES = 3
+RELEASE_PAUSE_US = 50_000
+PLACE_US = 1_000_000
+FINISH_US = 1_000_000  # for the bytes after an answer's last event
+
+log = structlog.get_logger("yardspindle.edge")
+
+
+@dataclass(slots=True)
+class Running:
+    """A request's I/O."""
+
+    taken: Taken
+    request_id: str
+    fields: vllm.Fields
+    exchange: Exchange
+    head: bytes  # of the streamed answer, sent with its first event
+    stream: bool
+    state: AnswerState
+    collected: Collected | None
+    came_us: int
+    done: Signal
+    answer: c.Answer | None = None
+    client_error: tuple[int, bytes] | None = None
+    attempts: dict[int, Task] = field(default_factory=dict)
+    first_us: int = 0
+    reading_since_us: int = 0  # since when the writer's next event is awaited
+
+
+class Executor:
+    """The hands of the core."""
+
+    def __init__(self, world: World, core: Lifecycle, engines: vllm.EngineClient, metrics: EdgeMetrics,
+                 intake: Intake, stalled_us: int, tell: Callable[[i.Event], None]) -> None:
+        """`stalled_us`: how long a running stream may bring nothing."""
+        self._world = world
+        self._core = core
+        self._engines = engines
+        self._metrics = metrics
+        self._intake = intake
+        self._stalled_us = stalled_us
+        self._tell = tell
+        self.running: dict[int, Running] = {}
+
+    def perform(self, commands: list[c.Command]) -> None:
+        """Carry out commands, in order, without waiting."""
+        for command in commands:
+            match command:
+                case c.TellPlanner(event):
+                    self._tell(event)
+                case c.Read():
+                    self._start(command.request, command.attempt, self._read, command)
+                case c.Write():
+                    self._start(command.request, command.attempt, self._write, command)
+                case c.Abort():
+                    run = self.running.get(command.request)
+                    if run is not None and command.attempt in run.attempts:
+                        run.attempts.pop(command.attempt).cancel()
+                case c.AskPlace():
+                    self._world.spawn("place", self._ask_place, command)
+                case c.ReleaseState(request, attempt, server) if server.places:
+                    self._world.spawn("release", self._release, lambda r=request, a=attempt, s=server:
+                                      self._engines.release_state(s, r, a))
+                case c.ReleasePlace(request, place, server) if server.places:
+                    self._world.spawn("release", self._release, lambda r=request, p=place, s=server:
+                                      self._engines.release_place(s, r, p))
+                case c.Answer():
+                    run = self.running.get(command.request)
+                    if run is not None:
+                        run.answer = command
+                        run.done.set()
+                case c.CloseIdle(server):
+                    self._engines.http.close_idle(server.host, server.port)
+                case c.Warn(request, rule):
+                    self._metrics.interlocks.labels(rule).inc()
+                    run = self.running.get(request)
+                    log.warning("interlock", rule=rule, request_id=run.request_id if run else str(request))
+                case _:
+                    pass  # a release at an engine without the extension: its own time-out lets go
+
+    def _start(self, request: int, attempt: int, run_attempt: Callable[[Any, Running], None],
+               command: c.Read | c.Write) -> None:
+        run = self.running[request]
+        run.attempts[attempt] = self._world.spawn("attempt", run_attempt, command, run)
+
+    def _ended(self, run: Running, command: c.Read | c.Write, ended: vllm.Ended) -> None:
+        run.attempts.pop(command.attempt, None)
+        stage = "read" if isinstance(command, c.Read) else "write"
+        self._metrics.attempts.labels(stage, ended.status.value).inc()
+        if ended.status not in (i.Status.READ, i.Status.SERVED):
+            log.info("attempt failed", request_id=run.request_id, stage=stage, server=command.server.name,
+                     status=ended.status.value, detail=ended.detail)
+        if ended.client_error is not None:
+            run.client_error = ended.client_status, ended.client_error
+        if ended.usage is not None:
+            self._intake.learn(run.taken, ended.usage.prompt_tokens)
+            self._metrics.prompt_tokens.inc(ended.usage.prompt_tokens)
+            self._metrics.cached_tokens.inc(ended.usage.kept)
+        self.perform(self._core.attempt_ended(
+            self._world.now_us(), command.request, command.attempt, ended.status, ended.note, ended.state))
+
+    # --- attempts
+
+    def _read(self, command: c.Read, run: Running) -> None:
+        try:
+            with self._world.deadline(command.until_us):
+                ended = self._engines.read(command.server, command.request, command.attempt,
+                                           vllm.read_body(run.fields))
+        except DeadlineExceeded:
+            ended = vllm.Ended(i.Status.TIMEOUT)
+        self._ended(run, command, ended)
+
+    def _write(self, command: c.Write, run: Running) -> None:
+        try:
+            with self._world.deadline(command.until_us):
+                body = vllm.write_body(run.fields, command.state)
+                answer = self._engines.write(command.server, command.request, command.attempt, body, command.place)
+                first = None
+                if isinstance(answer, vllm.AnswerStream):
+                    batches = answer.batches()
+                    try:
+                        first = next(batches, None)
+                    except BaseException:
+                        answer.close()
+                        raise
+        except DeadlineExceeded:
+            return self._ended(run, command, vllm.Ended(i.Status.TIMEOUT))
+        except ExchangeBroken as error:
+            return self._ended(run, command, vllm.Ended(i.Status.RESET, detail=str(error)))
+        if isinstance(answer, vllm.Ended):
+            return self._ended(run, command, answer)
+        try:
+            ended = self._relay(command, run, answer, first, batches)
+        finally:
+            answer.close()
+        if ended is not None:
+            self._ended(run, command, ended)
+
+    def _relay(self, command: c.Write, run: Running, answer: vllm.AnswerStream, first: list[bytes] | None,
+               batches: Any) -> vllm.Ended | None:
+        """From the first event to the last; None when the request was over before it."""
+        if first is None:
+            return vllm.Ended(i.Status.RESET, detail="the answer ended before it began")
+        if vllm_error := next((data for data in first[:1] if data.startswith(b'{"error"')), None):
+            return vllm.Ended(i.Status.ERROR, detail=vllm_error[:200].decode(errors="replace"))
+        if not self._core.first_token(self._world.now_us(), command.request, command.attempt):
+            return None
+        self.perform(self._core.told())
+        run.first_us = self._world.now_us()
+        self._metrics.first_token.labels(run.taken.request.cls).observe((run.first_us - run.came_us) / 1e6)
+        stop_guard = self._guard_stall(run, answer)
+        try:
+            self._pass_on(run, first)
+            while not run.state.done and not run.state.error:
+                run.reading_since_us = self._world.now_us()
+                batch = next(batches, None)
+                run.reading_since_us = 0
+                if batch is None:
+                    break
+                self._pass_on(run, batch)
+            if run.state.whole:
+                self._finish(answer)
+                counts = run.state.counts
+                if counts is not None:
+                    self._intake.learn(run.taken, counts.prompt)
+                return vllm.Ended(i.Status.SERVED, counts.cached if counts else 0)
+            return vllm.Ended(i.Status.ERROR if run.state.error else i.Status.RESET, detail="stream broken")
+        except (ExchangeBroken, ValueError) as error:
+            return vllm.Ended(i.Status.RESET, detail=str(error))
+        except StreamError:  # the client left or takes nothing; the exchange has told the core
+            run.exchange.left()
+            return vllm.Ended(i.Status.CANCELLED)
+        finally:
+            stop_guard()
+
+    def _pass_on(self, run: Running, batch: list[bytes]) -> None:
+        state = run.state
+        passed = [data for data in batch if state.forward(data)]
+        if not passed:
+            return
+        self._metrics.events.inc(len(passed))
+        if run.collected is not None:
+            for data in passed:
+                run.collected.add(data)
+            return
+        head, run.head = run.head, b""
+        run.exchange.send(b"".join([write_event(data) for data in passed]), head)
+
+    def _finish(self, answer: vllm.AnswerStream) -> None:
+        try:
+            with self._world.deadline(self._world.now_us() + FINISH_US):
+                answer.finish()
+        except (ExchangeBroken, DeadlineExceeded):
+            pass  # the answer was whole; only its connection is not kept
+
+    def _guard_stall(self, run: Running, answer: vllm.AnswerStream) -> Callable[[], None]:
+        """Break a stream that brings nothing for too long, without a timer for each event."""
+        cancel: list[Callable[[], None]] = []
+
+        def check() -> None:
+            now = self._world.now_us()
+            if run.reading_since_us and now - run.reading_since_us >= self._stalled_us:
+                answer.abort()
+                return
+            cancel[0] = self._world.call_at(now + self._stalled_us // 4, check)
+
+        cancel.append(self._world.call_at(self._world.now_us() + self._stalled_us // 4, check))
+        return lambda: cancel[0]()
+
+    # --- places and releases
+
+    def _ask_place(self, command: c.AskPlace) -> None:
+        held: bool | None = None
+        try:
+            with self._world.deadline(self._world.now_us() + PLACE_US):
+                held = self._engines.ask_place(command.server, command.request, command.place, command.tokens,
+                                               command.reader, command.read_attempt)
+        except (DeadlineExceeded, Cancelled):
+            held = None
+        self.perform(self._core.place_answered(
+            self._world.now_us(), command.request, command.place, command.server, held))
+
+    def _release(self, release: Callable[[], bool]) -> None:
+        for _ in range(RELEASE_TRIES):
+            try:
+                with self._world.deadline(self._world.now_us() + RELEASE_US):
+                    if release():
+                        return
+            except DeadlineExceeded:
+                pass
+            self._world.sleep_until(self._world.now_us() + RELEASE_PAUSE_US)
+
+
+def served_body(run: Running) -> bytes:
+    """The whole answer of a request that asked for no stream."""
+    assert run.collected is not None and run.answer is not None and run.answer.final is Final.SERVED
+    return run.collected.body()
--- /dev/null
+++ b/yardspindle/edge/metrics.py
@@ -0,0 +1,39 @@
+"""What the edge counts, for Prometheus."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+SECONDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
+
+
+class EdgeMetrics:
+    """A registry of its own: one for each edge, also where several share a process."""
+
+    def __init__(self) -> None:
+        """All at zero."""
+        self.registry = CollectorRegistry()
+        self.finals = Counter("yardspindle_final_answers", "Final answers", ("cls", "final", "code"),
+                              registry=self.registry)
+        self.left = Counter("yardspindle_clients_left", "Clients that left before their final answer", ("cls",),
+                            registry=self.registry)
+        self.attempts = Counter("yardspindle_attempts", "Ended attempts", ("stage", "status"),
+                                registry=self.registry)
+        self.first_token = Histogram("yardspindle_first_token_seconds", "Time to the first token", ("cls",),
+                                     buckets=SECONDS, registry=self.registry)
+        self.events = Counter("yardspindle_streamed_events", "Events streamed to clients", registry=self.registry)
+        self.prompt_tokens = Counter("yardspindle_prompt_tokens", "Prompt tokens that engines counted",
+                                     registry=self.registry)
+        self.cached_tokens = Counter("yardspindle_cached_tokens", "Prompt tokens that readers had kept",
+                                     registry=self.registry)
+        self.interlocks = Counter("yardspindle_interlocks", "Actions the edge refused or took by itself", ("rule",),
+                                  registry=self.registry)
+        self.planner_up = Gauge("yardspindle_planner_up", "Whether a planner decides", registry=self.registry)
+        self.open_requests = Gauge("yardspindle_open_requests", "Requests taken and not done with",
+                                   registry=self.registry)
+        self.connections = Gauge("yardspindle_client_connections", "Open client connections",
+                                 registry=self.registry)
+
+    def text(self) -> bytes:
+        """The exposition format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/yardspindle/edge/planner_link.py
@@ -0,0 +1,149 @@
+"""The edge's end of the link: connects, greets, sends events in batches, carries back actions, reconnects.
+
+Events wait in one bounded list while a frame is being written, so a burst becomes few frames. A planner that takes
+none for so long that the list is full is treated as lost: the link is closed, and the core settles what is open.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import structlog
+
+from yardspindle import interface as i
+from yardspindle.core.directory import Server
+from yardspindle.link import frames
+from yardspindle.runtime.scheduler import DeadlineExceeded
+from yardspindle.runtime.world import ConnectError, Stream, StreamError, World
+
+PENDING_MOST = 50_000  # events; some seconds of a busy edge
+RETRY_FIRST_US = 50_000  # after a lost link; doubled up to the most, so that a dead planner costs little
+RETRY_MOST_US = 1_000_000
+GREETING_US = 2_000_000
+CONNECT_US = 1_000_000
+
+log = structlog.get_logger("yardspindle.edge.link")
+
+
+class PlannerLink:
+    """Keeps one link to the planner."""
+
+    def __init__(self, world: World, address: tuple[str, int], hello: Callable[[], frames.Hello],
+                 on_up: Callable[[int], None], on_down: Callable[[], None],
+                 on_servers: Callable[[list[Server]], None],
+                 on_actions: Callable[[int, list[i.Action]], None]) -> None:
+        """`on_up` and `on_actions` are told the planner's epoch; `on_down` comes once after each `on_up`."""
+        self._world = world
+        self._address = address
+        self._hello = hello
+        self._on_up = on_up
+        self._on_down = on_down
+        self._on_servers = on_servers
+        self._on_actions = on_actions
+        self._pending: list[i.Event] = []
+        self._wake = world.channel(1)
+        self._stream: Stream | None = None
+        self._number = 0
+        self.answered = 0
+        self.came_up = world.signal()  # set by the first link that comes up
+
+    def tell(self, event: i.Event) -> None:
+        """Send an event soon; dropped when there is no link, as the core has settled what it was about."""
+        if self._stream is None:
+            return
+        if len(self._pending) >= PENDING_MOST:
+            log.error("planner takes no events", waiting=len(self._pending))
+            self._pending.clear()
+            self._stream.abort()
+            return
+        self._pending.append(event)
+        if not len(self._wake):
+            self._wake.try_put(None)
+
+    def run(self) -> None:
+        """Keep the link until cancelled."""
+        pause_us = RETRY_FIRST_US
+        while True:
+            try:
+                stream = self._world.connect(*self._address, self._world.now_us() + CONNECT_US)
+            except ConnectError as error:
+                log.debug("no planner", reason=str(error))
+            else:
+                try:
+                    if self._session(stream):
+                        pause_us = RETRY_FIRST_US
+                finally:
+                    stream.close()
+            self._world.sleep_until(self._world.now_us() + pause_us)
+            pause_us = min(2 * pause_us, RETRY_MOST_US)
+
+    def _session(self, stream: Stream) -> bool:
+        """One link's life; whether it came up."""
+        reader = frames.FrameReader()
+        try:
+            with self._world.deadline(self._world.now_us() + GREETING_US):
+                stream.write(frames.encode(self._hello()))
+                epoch, waiting = self._greeted(stream, reader)
+        except (StreamError, DeadlineExceeded, frames.LinkError) as error:
+            log.warning("greeting failed", reason=str(error) or "no answer in time")
+            return False
+        self._pending.clear()
+        self._stream = stream
+        sender = None
+        try:
+            self._on_up(epoch)
+            self.came_up.set()
+            sender = self._world.spawn("link sender", self._send, stream)
+            log.info("planner up", epoch=epoch)
+            for frame in waiting:
+                self._take(epoch, frame)
+            while data := stream.read():
+                for frame in reader.feed(data):
+                    self._take(epoch, frame)
+            log.warning("planner lost", reason="it closed the link")
+        except (StreamError, frames.LinkError) as error:
+            log.warning("planner lost", reason=str(error))
+        finally:
+            self._stream = None
+            if sender is not None:
+                sender.cancel()
+            self._on_down()
+        return True
+
+    def _greeted(self, stream: Stream, reader: frames.FrameReader) -> tuple[int, list[frames.Frame]]:
+        while True:
+            data = stream.read()
+            if not data:
+                raise frames.LinkError("closed")
+            got = reader.feed(data)
+            if not got:
+                continue
+            first = got[0]
+            if isinstance(first, frames.Bye):
+                raise frames.LinkError(first.reason)
+            if not isinstance(first, frames.Welcome) or first.version != frames.VERSION:
+                raise frames.LinkError("the planner speaks another version")
+            return first.epoch, got[1:]
+
+    def _take(self, epoch: int, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.Actions):
+            self.answered = frame.answers
+            self._on_actions(epoch, [frames.original(action) for action in frame.actions])
+        elif isinstance(frame, frames.Servers):
+            self._on_servers(frame.servers)
+        elif isinstance(frame, frames.Bye):
+            raise frames.LinkError(frame.reason)
+        else:
+            raise frames.LinkError(f"a planner does not send {type(frame).__name__}")
+
+    def _send(self, stream: Stream) -> None:
+        try:
+            while True:
+                self._wake.get()
+                while self._pending and self._stream is stream:
+                    events, self._pending = self._pending, []
+                    self._number += 1
+                    stream.write(frames.encode(frames.Events(
+                        self._number, self._world.now_us(), [frames.mirror(event) for event in events])))
+        except (StreamError, frames.LinkError):
+            stream.abort()  # the reading side sees it and settles everything
--- /dev/null
+++ b/yardspindle/engine/__init__.py
@@ -0,0 +1,1 @@
+"""The client side of an engine: read, write, place, release."""
--- /dev/null
+++ b/yardspindle/engine/http_client.py
@@ -0,0 +1,174 @@
+"""An HTTP/1.1 client that keeps connections, and says of each failure whether anything was sent.
+
+A kept connection is used only if it is quiet: a server that closed it while it was idle is found out before a
+request is put on it, since after that nobody could tell whether the request arrived.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from yardspindle.protocol import http1
+from yardspindle.runtime.world import ConnectError, Stream, StreamError, World
+
+IDLE_MOST = 64  # connections kept for each server; more than that are opened and closed as they come
+
+
+class ExchangeBroken(Exception):
+    """The connection broke, or spoke no HTTP, after the request or a part of it was sent."""
+
+
+@dataclass(slots=True)
+class Connection:
+    """A connection to a server."""
+
+    stream: Stream
+    parser: http1.ResponseParser
+    used_us: int = 0
+
+
+@dataclass(slots=True)
+class Response:
+    """A response whose body is still coming. Ends with `close`, in good order or not."""
+
+    client: HttpClient
+    key: tuple[str, int]
+    connection: Connection
+    head: http1.ResponseHead
+    ended: bool = False
+
+    def read(self) -> bytes | None:
+        """The next piece of the body, or None at its end. Raises ExchangeBroken."""
+        while not self.ended:
+            event = self.client.next_event(self.connection)
+            if isinstance(event, http1.Data):
+                return event.data
+            if isinstance(event, http1.End):
+                self.ended = True
+        return None
+
+    def read_all(self) -> bytes:
+        """The whole body. Raises ExchangeBroken."""
+        pieces = []
+        while (piece := self.read()) is not None:
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    def close(self) -> None:
+        """Keep the connection if the response is complete and allows it, else reset it: the server must notice."""
+        if self.ended and http1.keeps_alive(self.head) and not self.connection.parser.buffered:
+            self.client.keep(self.key, self.connection)
+        elif self.ended:
+            self.connection.stream.close()
+        else:
+            self.connection.stream.abort()
+
+
+@dataclass(slots=True)
+class Counts:
+    """What the client did."""
+
+    opened: int = 0
+    reused: int = 0
+    stale: int = 0
+
+
+@dataclass(slots=True)
+class HttpClient:
+    """Connections to any number of servers."""
+
+    world: World
+    connect_us: int
+    idle_us: int
+    counts: Counts = field(default_factory=Counts)
+    _idle: dict[tuple[str, int], deque[Connection]] = field(default_factory=dict)
+
+    def request(self, host: str, port: int, method: bytes, target: bytes, headers: http1.Headers,
+                body: bytes = b"") -> Response:
+        """Send a request and wait for the response's head.
+
+        Raises ConnectError when nothing was sent and ExchangeBroken when something may have been.
+        """
+        key = (host, port)
+        name = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+        data = http1.write_request(method, target, [(b"host", name.encode()), *headers], body)
+        connection = self._take(key) or self._open(key)
+        connection.parser.expects(method)
+        done = False
+        try:
+            try:
+                connection.stream.write(data)
+            except StreamError as error:
+                raise ExchangeBroken(f"write: {error}") from None
+            while True:
+                event = self.next_event(connection)
+                if isinstance(event, http1.ResponseHead) and event.status >= 200:
+                    done = True
+                    return Response(self, key, connection, event)
+        finally:
+            if not done:
+                connection.stream.abort()
+
+    def next_event(self, connection: Connection) -> http1.Event:
+        """The next event of a response. Raises ExchangeBroken."""
+        try:
+            while (event := connection.parser.next_event()) is None:
+                data = connection.stream.read()
+                if data:
+                    connection.parser.feed(data)
+                elif connection.parser.closed:
+                    raise ExchangeBroken("closed before the response")
+                else:
+                    connection.parser.feed_eof()
+            return event
+        except StreamError as error:
+            raise ExchangeBroken(str(error)) from None
+        except http1.ProtocolError as error:
+            raise ExchangeBroken(error.reason) from None
+
+    def keep(self, key: tuple[str, int], connection: Connection) -> None:
+        """Put a connection aside for the next request."""
+        idle = self._idle.setdefault(key, deque())
+        connection.used_us = self.world.now_us()
+        idle.append(connection)
+        if len(idle) > IDLE_MOST:
+            idle.popleft().stream.close()
+
+    def close_idle(self, host: str, port: int) -> None:
+        """Close what is kept to a server."""
+        for connection in self._idle.pop((host, port), ()):
+            connection.stream.close()
+
+    def close_old(self) -> None:
+        """Close what was idle for longer than it may be; called now and then."""
+        oldest = self.world.now_us() - self.idle_us
+        for key, idle in list(self._idle.items()):
+            while idle and idle[0].used_us < oldest:
+                idle.popleft().stream.close()
+            if not idle:
+                del self._idle[key]
+
+    def close_all(self) -> None:
+        """Close every kept connection."""
+        for host, port in list(self._idle):
+            self.close_idle(host, port)
+
+    def _take(self, key: tuple[str, int]) -> Connection | None:
+        idle = self._idle.get(key)
+        while idle:
+            connection = idle.pop()  # the one used last is the likeliest to be alive; old ones can time out
+            if self.world.now_us() - connection.used_us < self.idle_us and connection.stream.quiet():
+                self.counts.reused += 1
+                return connection
+            self.counts.stale += 1
+            connection.stream.close()
+        return None
+
+    def _open(self, key: tuple[str, int]) -> Connection:
+        stream = self.world.connect(*key, self.world.now_us() + self.connect_us)
+        self.counts.opened += 1
+        return Connection(stream, http1.ResponseParser())
+
+
+__all__ = ["ConnectError", "ExchangeBroken", "HttpClient", "Response"]
--- /dev/null
+++ b/yardspindle/engine/vllm.py
@@ -0,0 +1,247 @@
+"""Engines as vLLM's OpenAI-compatible server speaks: a request in two stages, tied by `kv_transfer_params`.
+
+The read goes to a reader with `do_remote_decode` and one token to produce; its answer names the blocks it keeps
+(`remote_engine_id`, `remote_block_ids`, `remote_host`, `remote_port`) and, echoed in the write's parameters with
+`do_remote_prefill`, lets the writer fetch them. A place held ahead, its release and a state's release are our own
+extension under `/v1/yardspindle/`; a server without it is never asked (`places` in the server list).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from msgspec import Struct, field
+
+from yardspindle.core.directory import Server
+from yardspindle.core.proof import status_of_refusal
+from yardspindle.engine.http_client import ConnectError, ExchangeBroken, HttpClient, Response
+from yardspindle.interface import Status
+from yardspindle.protocol import http1
+from yardspindle.protocol.sse import EventTooLarge, SseParser
+
+COMPLETIONS = b"/v1/chat/completions"
+PLACES = b"/v1/yardspindle/places"
+STATES = b"/v1/yardspindle/states"
+PLACE_HEADER = b"x-yardspindle-place"
+JSON_HEADERS: http1.Headers = [(b"content-type", b"application/json")]
+ERROR_BYTES_MOST = 65_536
+READ_PARAMS = {"do_remote_decode": True, "do_remote_prefill": False, "remote_engine_id": None,
+               "remote_block_ids": None, "remote_host": None, "remote_port": None}
+# Fields of the client's request that make no sense for a read of one token.
+NOT_FOR_READS = ("stream_options", "min_tokens", "max_completion_tokens", "n", "best_of", "logprobs",
+                 "top_logprobs", "response_format")
+
+Fields = dict[str, msgspec.Raw]
+
+
+class PromptDetails(Struct):
+    """What of the prompt the engine had kept."""
+
+    cached_tokens: int | None = None
+
+
+class Usage(Struct):
+    """Token counts as engines report them."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    prompt_tokens_details: PromptDetails | None = None
+
+    @property
+    def kept(self) -> int:
+        """Prompt tokens found kept."""
+        return (self.prompt_tokens_details.cached_tokens or 0) if self.prompt_tokens_details else 0
+
+
+class _ReadAnswer(Struct):
+    kv_transfer_params: dict[str, Any] | None = None
+    usage: Usage = field(default_factory=Usage)
+
+
+class _ErrorBody(Struct):
+    code: str | int | None = None
+    message: str = ""
+
+
+class _ErrorAnswer(Struct):
+    error: _ErrorBody = field(default_factory=_ErrorBody)
+
+
+@dataclass(slots=True)
+class Ended:
+    """How an attempt ended, for the core."""
+
+    status: Status
+    note: int = 0
+    state: Any = None
+    usage: Usage | None = None
+    detail: str = ""
+    client_error: bytes | None = None  # the engine's own 4xx: the request itself is at fault
+    client_status: int = 0
+
+
+def read_body(fields: Fields) -> bytes:
+    """The first stage's body."""
+    asked: dict[str, Any] = {name: raw for name, raw in fields.items() if name not in NOT_FOR_READS}
+    asked |= {"stream": False, "max_tokens": 1, "kv_transfer_params": READ_PARAMS}
+    return msgspec.json.encode(asked)
+
+
+def write_body(fields: Fields, state: Any) -> bytes:
+    """The second stage's body: as the client sent it, but always streamed and with its usage at the end."""
+    options: dict[str, Any] = {}
+    if "stream_options" in fields:
+        options = msgspec.json.decode(fields["stream_options"]) or {}
+    asked: dict[str, Any] = {**fields, "stream": True, "stream_options": {**options, "include_usage": True}}
+    if state is not None:
+        asked["kv_transfer_params"] = state
+    return msgspec.json.encode(asked)
+
+
+class AnswerStream:
+    """The events of a writer's answer, as they come."""
+
+    def __init__(self, response: Response) -> None:
+        """Take over a response with status 200."""
+        self._response = response
+        self._sse = SseParser()
+
+    def batches(self) -> Iterator[list[bytes]]:
+        """Data of the events, as many at once as came at once. Raises ExchangeBroken."""
+        response, sse = self._response, self._sse
+        try:
+            while (piece := response.read()) is not None:
+                events = sse.feed(piece)
+                if events:
+                    yield [event.data for event in events]
+        except EventTooLarge:
+            raise ExchangeBroken("an event is too large") from None
+
+    def close(self) -> None:
+        """Keep or reset the connection."""
+        self._response.close()
+
+    def abort(self) -> None:
+        """Reset the connection; a task that reads from it gets ExchangeBroken."""
+        self._response.connection.stream.abort()
+
+    def finish(self) -> None:
+        """Read to the response's end, so that the connection can be kept. Raises ExchangeBroken."""
+        while self._response.read() is not None:
+            pass
+
+
+class EngineClient:
+    """Calls to any engine of the list. Time-outs are the caller's deadlines."""
+
+    def __init__(self, http: HttpClient, unique: str) -> None:
+        """`unique` sets this edge's ids apart from those of any other start."""
+        self.http = http
+        self._unique = unique
+
+    def state_id(self, request: int, attempt: int) -> str:
+        """The id under which a reader keeps the state of a read."""
+        return f"{self._unique}-{request}.{attempt}"
+
+    def place_id(self, request: int, place: int) -> str:
+        """The id of a place."""
+        return f"{self._unique}-{request}.p{place}"
+
+    def read(self, server: Server, request: int, attempt: int, body: bytes) -> Ended:
+        """First stage. Never raises but for deadlines and cancellation."""
+        headers = [*JSON_HEADERS, (b"x-request-id", self.state_id(request, attempt).encode())]
+        try:
+            response = self.http.request(server.host, server.port, b"POST", COMPLETIONS, headers, body)
+        except ConnectError as error:
+            return Ended(Status.CONNECT_FAILED, detail=str(error))
+        except ExchangeBroken as error:
+            return Ended(Status.RESET, detail=str(error))
+        try:
+            data = response.read_all()
+        except ExchangeBroken as error:
+            return Ended(Status.RESET, detail=str(error))
+        finally:
+            response.close()
+        if response.head.status != 200:
+            return refused(response.head.status, data)
+        try:
+            answer = msgspec.json.decode(data, type=_ReadAnswer)
+        except msgspec.DecodeError as error:
+            return Ended(Status.ERROR, detail=f"the read's answer is malformed: {error}")
+        if not answer.kv_transfer_params:
+            return Ended(Status.ERROR, detail="the read's answer names no state")
+        state = {**answer.kv_transfer_params, "do_remote_prefill": True, "do_remote_decode": False}
+        return Ended(Status.READ, answer.usage.kept, state, answer.usage)
+
+    def write(self, server: Server, request: int, attempt: int, body: bytes,
+              place: int | None) -> AnswerStream | Ended:
+        """Second stage: the answer's stream, or how it ended before one began."""
+        headers = [*JSON_HEADERS, (b"x-request-id", self.state_id(request, attempt).encode())]
+        if place is not None:
+            headers.append((PLACE_HEADER, self.place_id(request, place).encode()))
+        try:
+            response = self.http.request(server.host, server.port, b"POST", COMPLETIONS, headers, body)
+        except ConnectError as error:
+            return Ended(Status.CONNECT_FAILED, detail=str(error))
+        except ExchangeBroken as error:
+            return Ended(Status.RESET, detail=str(error))
+        if response.head.status == 200:
+            return AnswerStream(response)
+        try:
+            return refused(response.head.status, response.read_all())
+        except ExchangeBroken as error:
+            return Ended(Status.RESET, detail=str(error))
+        finally:
+            response.close()
+
+    def ask_place(self, server: Server, request: int, place: int, tokens: float, reader: Server,
+                  read_attempt: int) -> bool | None:
+        """Whether the writer holds a place; None when it was not heard."""
+        body = msgspec.json.encode({
+            "place": self.place_id(request, place), "tokens": round(tokens),
+            "read": {"id": self.state_id(request, read_attempt), "host": reader.host, "port": reader.port}})
+        status = self._call(server, b"POST", PLACES, body)
+        return True if status == 200 else False if status == 409 else None
+
+    def release_state(self, server: Server, request: int, attempt: int) -> bool:
+        """Let go of a state; harmless when there is none. False when the server was not heard."""
+        target = STATES + b"/" + self.state_id(request, attempt).encode()
+        return self._call(server, b"DELETE", target) is not None
+
+    def release_place(self, server: Server, request: int, place: int) -> bool:
+        """Let go of a place; harmless when there is none. False when the server was not heard."""
+        target = PLACES + b"/" + self.place_id(request, place).encode()
+        return self._call(server, b"DELETE", target) is not None
+
+    def _call(self, server: Server, method: bytes, target: bytes, body: bytes = b"") -> int | None:
+        try:
+            response = self.http.request(server.host, server.port, method, target,
+                                         JSON_HEADERS if body else [], body)
+        except (ConnectError, ExchangeBroken):
+            return None
+        try:
+            response.read_all()
+            return response.head.status
+        except ExchangeBroken:
+            return None
+        finally:
+            response.close()
+
+
+def refused(http_status: int, data: bytes) -> Ended:
+    """An error answer as the end of an attempt."""
+    code: str | None = None
+    message = ""
+    try:
+        error = msgspec.json.decode(data[:ERROR_BYTES_MOST], type=_ErrorAnswer).error
+        code, message = None if error.code is None else str(error.code), error.message
+    except msgspec.DecodeError:
+        pass
+    status, note = status_of_refusal(http_status, code)
+    ended = Ended(status, note, detail=f"HTTP {http_status} {code or ''} {message[:200]}".strip())
+    if 400 <= http_status < 500 and status is Status.ERROR and http_status not in (408, 429):
+        ended.client_error, ended.client_status = data[:ERROR_BYTES_MOST], http_status
+    return ended
--- /dev/null
+++ b/yardspindle/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Sources of the server list."""
--- /dev/null
+++ b/yardspindle/fleet/file.py
@@ -0,0 +1,60 @@
+"""The server list from a file, read again every so often; taken whole or not at all.
+
+What is wrong with a file is said once, and again when the fault changes; the list in force stays. Reading is
+cheap beside what a late list costs, and sees every way in which a file can be replaced.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import structlog
+
+from yardspindle.core.config import Config, ConfigError
+from yardspindle.core.roster import Roster, parse_list
+from yardspindle.runtime.world import World
+
+log = structlog.get_logger("yardspindle.fleet")
+
+
+class FileSource:
+    """Feeds a roster from a file."""
+
+    def __init__(self, world: World, path: str, config: Config, roster: Roster,
+                 on_news: Callable[[], None]) -> None:
+        """`on_news` is called when a changed list is in force."""
+        self._world = world
+        self._path = path
+        self._config = config
+        self._roster = roster
+        self._on_news = on_news
+        self._data: bytes | None = None
+        self.fault = ""
+        self.rejected = 0
+
+    def read_once(self) -> None:
+        """Look at the file. Raises ConfigError when it cannot be taken."""
+        try:
+            data = self._world.read_file(self._path)
+        except OSError as error:
+            raise ConfigError(f"{self._path}: {error.strerror}") from None
+        if data == self._data:
+            return
+        document = parse_list(self._path, data, self._config)
+        self._data = data
+        if self._roster.take(document):
+            log.info("server list", version=self._roster.version, servers=len(document.servers))
+            self._on_news()
+
+    def run(self, every_us: int) -> None:
+        """Follow the file until cancelled."""
+        while True:
+            try:
+                self.read_once()
+                self.fault = ""
+            except ConfigError as error:
+                if str(error) != self.fault:
+                    self.fault = str(error)
+                    self.rejected += 1
+                    log.error("server list refused; the one in force stays", reason=self.fault)
+            self._world.sleep_until(self._world.now_us() + every_us)
--- /dev/null
+++ b/yardspindle/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The laboratory: stand-in engines, scripted days, the audit of what passed on the sockets."""
--- /dev/null
+++ b/yardspindle/lab/engine.py
@@ -0,0 +1,464 @@
+"""A stand-in engine: speaks vLLM's two-stage calls and our extension, takes time, and can be told to misbehave.
+
+It is no emulator of a GPU: a read takes its new tokens at a rate shared by the reads under way, an answer one step
+for each token, slower the more run. What matters is that slots, queue, kept texts, states and places are real
+things that run out, time out and are fetched over a socket by the writer from the reader. Every request, token
+count, hold and release is appended to a journal before its effect can be seen: the audit reads nothing else.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from typing import Any, Literal
+
+import msgspec
+import xxhash
+from msgspec import Struct
+
+from yardspindle.api.errors import JSON, ApiError, error_body
+from yardspindle.api.serving import Exchange, Reply, Server, ServingLimits
+from yardspindle.engine.http_client import ConnectError, ExchangeBroken, HttpClient
+from yardspindle.engine.vllm import COMPLETIONS, PLACE_HEADER, PLACES, STATES
+from yardspindle.protocol import http1
+from yardspindle.protocol.sse import write_event
+from yardspindle.runtime.scheduler import DeadlineExceeded, Signal
+from yardspindle.runtime.world import StreamError, World
+
+CONTROL = b"/v1/lab/control"
+FETCH = b"/v1/lab/fetch/"
+BYTES_PER_TOKEN = 3.6  # on purpose not what the router starts from: its estimate must learn
+FETCH_US = 5_000_000
+WINDOW_PARTS = 20
+
+
+class EngineSettings(Struct, forbid_unknown_fields=True, frozen=True):
+    """How large and how fast it is."""
+
+    name: str = "engine"
+    role: Literal["read", "write", "both"] = "both"
+    slots: int = 16
+    queue: int = 32
+    memory_tokens: int = 160_000
+    read_tokens_per_s: float = 40_000.0
+    step_ms: float = 4.0
+    move_tokens_per_s: float = 400_000.0
+    cold_ms: float = 0.0
+    start_capacity: float = 1.0
+    fall_multiple: float = 2.5
+    fall_ms: float = 2_000.0
+    hold_ms: float = 5_000.0
+    places: bool = True
+    journal: str = ""
+
+
+class Control(Struct, forbid_unknown_fields=True):
+    """A command to misbehave."""
+
+    do: Literal["hang", "wake", "slow", "forget", "reset_streams", "drain", "full", "normal"]
+    factor: float = 1.0
+
+
+class _Message(Struct):
+    role: str
+    content: Any = None
+
+
+class _Call(Struct):
+    messages: list[_Message]
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+    stream_options: dict[str, Any] | None = None
+    kv_transfer_params: dict[str, Any] | None = None
+    metadata: dict[str, str] | None = None
+    tools: Any = None
+
+
+class _PlaceCall(Struct):
+    place: str
+    tokens: int
+    read: dict[str, Any] = {}
+
+
+@dataclass(slots=True)
+class Held:
+    """A state or place."""
+
+    tokens: int
+    expires_us: int
+
+
+@dataclass(slots=True)
+class Load:
+    """What runs and waits."""
+
+    running: int = 0
+    waiting: deque[Signal] = field(default_factory=deque)
+    memory: int = 0
+    arrivals: deque[tuple[int, float]] = field(default_factory=deque)
+
+
+class Engine:
+    """One stand-in."""
+
+    def __init__(self, world: World, settings: EngineSettings) -> None:
+        """Nothing is opened before `start`."""
+        self.world = world
+        self.set = settings
+        self.load = Load()
+        self.kept: OrderedDict[str, int] = OrderedDict()
+        self.states: dict[str, Held] = {}
+        self.places: dict[str, Held] = {}
+        self.released: OrderedDict[str, None] = OrderedDict()  # ids let go before their read or place was there
+        self.started_us = world.now_us()
+        self.slow = 1.0
+        self.full = self.draining = self.reset = False
+        self.hung: Signal | None = None
+        self.http = HttpClient(world, 1_000_000, 4_000_000)
+        self.host, self.port = "", 0
+
+    def start(self, host: str, port: int) -> tuple[str, int]:
+        """Listen and serve. Raises OSError."""
+        listener = self.world.listen(host, port)
+        self.host, self.port = listener.host, listener.port
+        server = Server(self.world, listener, self, ServingLimits(), self._fault)
+        self.world.spawn("accept", server.serve)
+        self.world.spawn("expiry", self._expire)
+        self.note("start")
+        return self.host, self.port
+
+    def note(self, event: str, request: str = "", **more: object) -> None:
+        """Append to the journal, at once."""
+        if self.set.journal:
+            line = {"t": self.world.now_us(), "box": self.set.name, "ev": event, "id": request, **more}
+            self.world.append_file(self.set.journal, msgspec.json.encode(line) + b"\n")
+
+    def _fault(self, fault: BaseException) -> None:
+        self.note("fault", "", text=f"{type(fault).__name__}: {fault}")
+
+    # --- routes
+
+    def early(self, head: http1.RequestHead) -> Reply | None:
+        """See Handler."""
+        target = head.target
+        if head.method == b"DELETE" and self.set.places:
+            for root, held in ((STATES, self.states), (PLACES, self.places)):
+                if target.startswith(root + b"/"):
+                    self._release(held, target[len(root) + 1:].decode())
+                    return Reply(204, [], b"")
+        if head.method != b"POST":
+            return ApiError(405, "method_not_allowed", "POST only.").reply()
+        if target in (COMPLETIONS, CONTROL) or target.startswith(FETCH) or (target == PLACES and self.set.places):
+            return None
+        return ApiError(404, "not_found", "No such path.").reply()
+
+    def malformed(self, error: http1.ProtocolError) -> Reply:
+        """See Handler."""
+        return ApiError(error.status, "malformed_request", error.reason).reply()
+
+    def handle(self, exchange: Exchange) -> None:
+        """See Handler."""
+        target = exchange.head.target
+        if target == CONTROL:
+            return self._control(exchange)
+        if self.hung is not None:
+            self.hung.wait()
+        if target.startswith(FETCH):
+            return self._fetched(exchange, target[len(FETCH):].decode())
+        if target == PLACES:
+            return self._place(exchange)
+        request = (exchange.head.get(b"x-request-id") or b"").decode()
+        call = msgspec.json.decode(exchange.body, type=_Call)
+        params = call.kv_transfer_params or {}
+        stage = "read" if params.get("do_remote_decode") else "write"
+        lab_id = (call.metadata or {}).get("lab_id", "")
+        self.note("arrive", request, stage=stage, lab=lab_id)
+        gone = self.world.signal()
+        exchange.on_gone = gone.set
+        ended = "failed"
+        try:
+            ended = (self._read if stage == "read" else self._write)(exchange, request, call, params, lab_id, gone)
+        except StreamError:
+            ended = "client gone"
+        finally:
+            self.note("end", request, stage=stage, how=ended)
+
+    def _control(self, exchange: Exchange) -> None:
+        control = msgspec.json.decode(exchange.body, type=Control)
+        self.note("control", "", do=control.do)
+        match control.do:
+            case "hang":
+                self.hung = self.hung or self.world.signal()
+            case "wake" if self.hung is not None:
+                self.hung.set()
+                self.hung = None
+            case "slow":
+                self.slow = control.factor
+            case "forget":
+                self.kept.clear()
+            case "reset_streams":
+                self.reset = True
+                self.world.call_at(self.world.now_us() + 50_000, self._stop_resets)
+            case "drain":
+                self.draining = True
+            case "full":
+                self.full = True
+            case "normal":
+                self.slow, self.full, self.draining = 1.0, False, False
+        exchange.reply(Reply(200, [JSON], b"{}"))
+
+    def _stop_resets(self) -> None:
+        self.reset = False
+
+    # --- capacity
+
+    def _warmth(self) -> float:
+        age_ms = (self.world.now_us() - self.started_us) / 1_000
+        if age_ms >= self.set.cold_ms:
+            return 1.0
+        return self.set.start_capacity + (1 - self.set.start_capacity) * age_ms / self.set.cold_ms
+
+    def _pause(self, microseconds: float, gone: Signal) -> bool:
+        """Take time; whether the client is still there."""
+        if not gone.is_set:
+            try:
+                with self.world.deadline(self.world.now_us() + int(microseconds)):
+                    gone.wait()
+            except DeadlineExceeded:
+                pass
+        while self.hung is not None:
+            self.hung.wait()
+        return not gone.is_set
+
+    def _weigh(self, work_us: float) -> bool:
+        """Count work sent to a cold engine; whether it stands it. See the rule on cold servers."""
+        now, span = self.world.now_us(), self.set.fall_ms * 1_000
+        arrivals = self.load.arrivals
+        arrivals.append((now, work_us))
+        while arrivals and arrivals[0][0] < now - span:
+            arrivals.popleft()
+        warmth = self._warmth()
+        budget = self.set.fall_multiple * warmth * span * self.set.slots
+        return warmth >= 1.0 or sum(work for _, work in arrivals) <= budget
+
+    def _enter(self, exchange: Exchange, request: str, tokens: int, work_us: float, gone: Signal) -> bool:
+        if not self._weigh(work_us):
+            self.note("fell", request)
+            self.hung = self.world.signal()  # it stays down
+        full = self.full or (self.load.running >= self.set.slots and len(self.load.waiting) >= self.set.queue)
+        if full or self.draining:
+            code = "engine_draining" if self.draining else "engine_full"
+            self.note("turned away", request, code=code)
+            exchange.reply(Reply(503, [JSON], error_body(code, "No room.", "overloaded_error")))
+            return False
+        if self.load.running >= self.set.slots or self.load.memory + tokens > self.set.memory_tokens:
+            turn = self.world.signal()
+            self.load.waiting.append(turn)
+            previous = exchange.on_gone
+            exchange.on_gone = turn.set
+            turn.wait()
+            exchange.on_gone = previous
+            if turn in self.load.waiting:
+                self.load.waiting.remove(turn)
+            if exchange.gone:
+                gone.set()
+                raise StreamError("gone while waiting")
+        self.load.running += 1
+        self.load.memory += tokens
+        return True
+
+    def _leave(self, tokens: int) -> None:
+        self.load.running -= 1
+        self.load.memory -= tokens
+        if self.load.waiting:
+            self.load.waiting.popleft().set()
+
+    # --- reading
+
+    def _tokens(self, call: _Call) -> tuple[int, int, list[str]]:
+        """Prompt tokens, those kept, and the chain of hashes, one a message."""
+        total = kept = 0
+        chain: list[str] = []
+        digest = xxhash.xxh3_64(msgspec.json.encode(call.tools))
+        whole = True
+        for message in call.messages:
+            text = msgspec.json.encode(message)
+            digest.update(text)
+            chain.append(digest.hexdigest())
+            count = max(1, round(len(text) / BYTES_PER_TOKEN))
+            total += count
+            whole = whole and chain[-1] in self.kept
+            kept += count if whole else 0
+        return total, kept, chain
+
+    def _keep(self, chain: list[str], tokens: int) -> None:
+        for link in chain:
+            self.kept.pop(link, None)
+            self.kept[link] = max(1, tokens // len(chain))
+        while sum(self.kept.values()) > self.set.memory_tokens:
+            self.kept.popitem(last=False)
+
+    def _read_prompt(self, call: _Call, gone: Signal) -> tuple[int, int, bool]:
+        total, kept, chain = self._tokens(call)
+        work_us = (total - kept) / self.set.read_tokens_per_s * 1e6
+        there = self._pause(work_us * max(self.load.running, 1) * self.slow / self._warmth(), gone)
+        self._keep(chain, total)
+        return total, kept, there
+
+    def _read(self, exchange: Exchange, request: str, call: _Call, params: dict[str, Any], lab_id: str,
+              gone: Signal) -> str:
+        total, kept, _ = self._tokens(call)
+        if not self._enter(exchange, request, total, (total - kept) / self.set.read_tokens_per_s * 1e6, gone):
+            return "turned away"
+        try:
+            total, kept, there = self._read_prompt(call, gone)
+        finally:
+            self._leave(total)
+        if not there:
+            return "cancelled"
+        if request in self.released:
+            self.note("read", request, tokens=total, kept=kept, lab=lab_id)
+        else:
+            self.states[request] = Held(total, self.world.now_us() + int(self.set.hold_ms * 1_000))
+            self.note("hold state", request, tokens=total, kept=kept, lab=lab_id)
+        answer = {"id": request, "object": "chat.completion", "choices": [], "usage": {
+            "prompt_tokens": total, "completion_tokens": 1, "prompt_tokens_details": {"cached_tokens": kept}},
+            "kv_transfer_params": {"remote_engine_id": self.set.name, "remote_block_ids": [1], "remote_host":
+                                   self.host, "remote_port": self.port, "remote_request_id": request}}
+        exchange.reply(Reply(200, [JSON], msgspec.json.encode(answer)))
+        return "read"
+
+    # --- writing
+
+    def _write(self, exchange: Exchange, request: str, call: _Call, params: dict[str, Any], lab_id: str,
+               gone: Signal) -> str:
+        total, kept, _ = self._tokens(call)
+        place = (exchange.head.get(PLACE_HEADER) or b"").decode()
+        had_place = self.places.pop(place, None)
+        if had_place is not None:
+            self.note("take place", place)
+            self._leave(had_place.tokens)
+        elif place:
+            self._remember(place)  # an answer to the asking may still be on its way
+        steps = self._length(call, lab_id)
+        if not self._enter(exchange, request, total, steps * self.set.step_ms * 1_000, gone):
+            return "turned away"
+        try:
+            if params.get("do_remote_prefill"):
+                if not self._fetch(params, total, had_place is not None, gone):
+                    self.note("no state", request)
+                    exchange.reply(Reply(409, [JSON], error_body("no_state", "No state to fetch.", "state_error")))
+                    return "no state"
+            elif self.set.role == "write":
+                exchange.reply(Reply(409, [JSON], error_body("no_state", "No state was named.", "state_error")))
+                return "no state"
+            elif not self._read_prompt(call, gone)[2]:
+                return "cancelled"
+            self.note("run", request, lab=lab_id, prompt=total, kept=kept)
+            return self._answer(exchange, request, call, total, kept, steps, gone)
+        finally:
+            self._leave(total)
+
+    def _length(self, call: _Call, lab_id: str) -> int:
+        most = call.max_completion_tokens or call.max_tokens or 32
+        return 1 + xxhash.xxh3_64_intdigest(lab_id.encode()) % most if lab_id else most
+
+    def _fetch(self, params: dict[str, Any], tokens: int, placed: bool, gone: Signal) -> bool:
+        try:
+            with self.world.deadline(self.world.now_us() + FETCH_US):
+                response = self.http.request(
+                    params["remote_host"], params["remote_port"], b"POST",
+                    FETCH + str(params.get("remote_request_id", "-")).encode(), [JSON], b"{}")
+                response.read_all()
+                response.close()
+        except (ConnectError, ExchangeBroken, DeadlineExceeded, KeyError):
+            return False
+        if response.head.status != 200:
+            return False
+        move_us = tokens / self.set.move_tokens_per_s * 1e6 * (0.3 if placed else 1.0)
+        return self._pause(move_us * self.slow, gone) or True
+
+    def _fetched(self, exchange: Exchange, request: str) -> None:
+        held = self.states.pop(request, None)
+        if held is None:
+            exchange.reply(ApiError(404, "no_state", "No such state.").reply())
+            return
+        self.note("fetched", request)
+        exchange.reply(Reply(200, [JSON], b"{}"))
+
+    def _answer(self, exchange: Exchange, request: str, call: _Call, total: int, kept: int, steps: int,
+                gone: Signal) -> str:
+        sent = 0
+        head = exchange.start(200, [(b"content-type", b"text/event-stream")]) if call.stream else b""
+        base = {"id": f"chatcmpl-{request}", "object": "chat.completion.chunk", "created": 0, "model": "stand-in"}
+        for step in range(steps):
+            pause_us = self.set.step_ms * 1_000 * self.slow / self._warmth() * (1 + self.load.running / 64)
+            if not self._pause(pause_us, gone) or self.reset:
+                self.note("sent", request, tokens=sent)
+                exchange.stream.abort()
+                exchange.break_off()
+                return "reset" if self.reset else "client gone"
+            if call.stream:
+                last = step == steps - 1
+                delta = {"content": f" w{step}"} if step else {"role": "assistant", "content": f"w{step}"}
+                chunk = {**base, "choices": [{"index": 0, "delta": delta, "logprobs": None,
+                                              "finish_reason": "stop" if last else None}]}
+                exchange.send(write_event(msgspec.json.encode(chunk)), head)
+                head = b""
+            sent += 1
+        usage = {"prompt_tokens": total, "completion_tokens": sent, "total_tokens": total + sent,
+                 "prompt_tokens_details": {"cached_tokens": kept}}
+        self.note("sent", request, tokens=sent, whole=True)
+        if not call.stream:
+            text = " ".join(f"w{step}" for step in range(steps))
+            exchange.reply(Reply(200, [JSON], msgspec.json.encode({
+                **base, "object": "chat.completion", "usage": usage, "choices": [
+                    {"index": 0, "message": {"role": "assistant", "content": text}, "finish_reason": "stop"}]})))
+            return "served"
+        tail = b""
+        if (call.stream_options or {}).get("include_usage"):
+            tail = write_event(msgspec.json.encode({**base, "choices": [], "usage": usage}))
+        exchange.finish(tail + write_event(b"[DONE]"))
+        return "served"
+
+    # --- holds
+
+    def _place(self, exchange: Exchange) -> None:
+        call = msgspec.json.decode(exchange.body, type=_PlaceCall)
+        room = (self.load.running < self.set.slots and not self.load.waiting and not self.draining
+                and self.load.memory + call.tokens <= self.set.memory_tokens and not self.full)
+        if not room or call.place in self.released:
+            exchange.reply(Reply(409, [JSON], b'{"held":false}'))
+            return
+        self.load.running += 1
+        self.load.memory += call.tokens
+        self.places[call.place] = Held(call.tokens, self.world.now_us() + int(self.set.hold_ms * 1_000))
+        self.note("hold place", call.place)
+        exchange.reply(Reply(200, [JSON], b'{"held":true}'))
+
+    def _release(self, held: dict[str, Held], request: str) -> None:
+        known = held.pop(request, None)
+        if known is None:
+            self._remember(request)
+            return
+        self.note("release", request)
+        if held is self.places:
+            self._leave(known.tokens)
+
+    def _remember(self, request: str) -> None:
+        self.released[request] = None
+        while len(self.released) > 10_000:
+            self.released.popitem(last=False)
+
+    def _expire(self) -> None:
+        while True:
+            self.world.sleep_until(self.world.now_us() + int(self.set.hold_ms * 1_000 / WINDOW_PARTS))
+            now = self.world.now_us()
+            for held in (self.states, self.places):
+                for request, known in list(held.items()):
+                    if now >= known.expires_us:
+                        del held[request]
+                        self.note("expire", request)
+                        if held is self.places:
+                            self._leave(known.tokens)
--- /dev/null
+++ b/yardspindle/link/__init__.py
@@ -0,0 +1,1 @@
+"""What edge and planner say to each other."""
--- /dev/null
+++ b/yardspindle/protocol/http1.py
@@ -0,0 +1,425 @@
+"""HTTP/1.1 without I/O (RFC 9110, RFC 9112): bytes in, events out, for servers and clients.
+
+Strict where leniency lets one peer smuggle a message past another: a message has one length, lines end in CRLF,
+a header name touches its colon. What breaks that is refused with the status a server answers. A parser yields
+`RequestHead` or `ResponseHead`, then `Data`, then `End`, then the next message of the connection (pipelining).
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+from enum import Enum
+
+TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+TARGET = re.compile(rb"[!-~]+")
+VALUE = re.compile(rb"[\t -~\x80-\xff]*")
+VERSION = re.compile(rb"HTTP/1\.([01])")
+DIGITS = re.compile(rb"[0-9]{1,18}")
+CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})((?:[ \t]*;[\t -~\x80-\xff]*)?)")
+STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: ([\t -~\x80-\xff]*))?")
+BODILESS_STATUS = (204, 304)
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class ProtocolError(Exception):
+    """The peer's bytes are no acceptable HTTP/1.1; `status` is what a server answers before it closes."""
+
+    def __init__(self, reason: str, status: int = 400) -> None:
+        """Keep the reason, one line without the peer's bytes."""
+        super().__init__(reason)
+        self.reason = reason
+        self.status = status
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """The most that a peer may make us hold, bytes and counts."""
+
+    line: int = 16_384
+    head: int = 65_536
+    headers: int = 128
+    body: int = 33_554_432
+
+
+@dataclass(slots=True)
+class RequestHead:
+    """A request's first line and headers; names in lower case."""
+
+    method: bytes
+    target: bytes
+    minor: int
+    headers: Headers
+
+    def get(self, name: bytes) -> bytes | None:
+        """The first value of a header, or None."""
+        return first_value(self.headers, name)
+
+
+@dataclass(slots=True)
+class ResponseHead:
+    """A response's status and headers; names in lower case."""
+
+    status: int
+    minor: int
+    headers: Headers
+
+    def get(self, name: bytes) -> bytes | None:
+        """The first value of a header, or None."""
+        return first_value(self.headers, name)
+
+
+@dataclass(slots=True)
+class Data:
+    """A piece of the body."""
+
+    data: bytes
+
+
+@dataclass(slots=True)
+class End:
+    """The message is complete."""
+
+
+Event = RequestHead | ResponseHead | Data | End
+
+
+class _Stage(Enum):
+    HEAD = 1
+    LENGTH = 2
+    CHUNK_LINE = 3
+    CHUNK_DATA = 4
+    CHUNK_END = 5
+    TRAILERS = 6
+    UNTIL_CLOSE = 7
+    END = 8
+    DEAD = 9
+
+
+def first_value(headers: Headers, name: bytes) -> bytes | None:
+    """The first value of a header, or None."""
+    for known, value in headers:
+        if known == name:
+            return value
+    return None
+
+
+def has_token(headers: Headers, name: bytes, token: bytes) -> bool:
+    """Whether a comma-separated header lists a token."""
+    return any(token == part.strip().lower() for known, value in headers if known == name
+               for part in value.split(b","))
+
+
+def parse_headers(lines: list[bytes], limits: Limits) -> Headers:
+    """Header lines without their line ends. Raises ProtocolError."""
+    if len(lines) > limits.headers:
+        raise ProtocolError("too many headers", 431)
+    headers: Headers = []
+    for line in lines:
+        if len(line) > limits.line:
+            raise ProtocolError("a header line is too long", 431)
+        name, colon, value = line.partition(b":")
+        if not colon or TOKEN.fullmatch(name) is None:
+            raise ProtocolError("a header line is malformed")
+        if VALUE.fullmatch(value) is None:
+            raise ProtocolError("a header value holds a control character")
+        headers.append((name.lower(), value.strip(b" \t")))
+    return headers
+
+
+def content_length(headers: Headers) -> int | None:
+    """The one stated length, or None. Raises ProtocolError when it is stated twice or is no number."""
+    values = [value for name, value in headers if name == b"content-length"]
+    if not values:
+        return None
+    if len(values) > 1 or DIGITS.fullmatch(values[0]) is None:
+        raise ProtocolError("Content-Length is malformed or comes twice")
+    return int(values[0])
+
+
+def is_chunked(headers: Headers, minor: int) -> bool:
+    """Whether the body comes in chunks. Raises ProtocolError for any other transfer coding."""
+    values = [value for name, value in headers if name == b"transfer-encoding"]
+    if not values:
+        return False
+    if minor == 0:
+        raise ProtocolError("Transfer-Encoding in HTTP/1.0")
+    if len(values) > 1 or values[0].lower() != b"chunked":
+        raise ProtocolError("a transfer coding other than chunked", 501)
+    if any(name == b"content-length" for name, _ in headers):
+        raise ProtocolError("both Content-Length and Transfer-Encoding")
+    return True
+
+
+def keeps_alive(head: RequestHead | ResponseHead) -> bool:
+    """Whether the connection stays open after this message."""
+    if head.minor == 0:
+        return has_token(head.headers, b"connection", b"keep-alive")
+    return not has_token(head.headers, b"connection", b"close")
+
+
+@dataclass(slots=True)
+class _Parser:
+    limits: Limits = field(default_factory=Limits)
+    buffer: bytearray = field(default_factory=bytearray)
+    stage: _Stage = _Stage.HEAD
+    left: int = 0
+    body_seen: int = 0
+    head_searched: int = 0
+    closed: bool = False
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes from the peer."""
+        self.buffer += data
+
+    def feed_eof(self) -> None:
+        """The peer has closed its side."""
+        self.closed = True
+
+    @property
+    def buffered(self) -> int:
+        """Bytes taken and not yet turned into events."""
+        return len(self.buffer)
+
+    @property
+    def mid_message(self) -> bool:
+        """Whether a message has begun and is not complete."""
+        return self.stage is not _Stage.HEAD or bool(self.buffer)
+
+    def next_event(self) -> Event | None:
+        """The next event, or None until more is fed. Raises ProtocolError, and then at every call."""
+        if self.stage is _Stage.DEAD:
+            raise ProtocolError("the connection is past use")
+        try:
+            return self._next()
+        except ProtocolError:
+            self.stage = _Stage.DEAD
+            raise
+
+    def _next(self) -> Event | None:
+        if self.stage is _Stage.HEAD:
+            return self._head()
+        if self.stage is _Stage.LENGTH:
+            return self._counted(_Stage.END)
+        if self.stage is _Stage.CHUNK_DATA:
+            return self._counted(_Stage.CHUNK_END)
+        if self.stage in (_Stage.CHUNK_LINE, _Stage.CHUNK_END, _Stage.TRAILERS):
+            return self._chunk_lines()
+        if self.stage is _Stage.UNTIL_CLOSE:
+            if self.buffer:
+                return self._taken(len(self.buffer))
+            if not self.closed:
+                return None
+        self.stage, self.body_seen = _Stage.HEAD, 0
+        return End()
+
+    def _taken(self, count: int) -> Data:
+        self.body_seen += count
+        if self.body_seen > self.limits.body:
+            raise ProtocolError("the body is too large", 413)
+        data = bytes(self.buffer[:count])
+        del self.buffer[:count]
+        return Data(data)
+
+    def _counted(self, after: _Stage) -> Event | None:
+        if self.left and not self.buffer:
+            self._starved("the body")
+            return None
+        if not self.left:
+            self.stage = after
+            return self._next()
+        data = self._taken(min(self.left, len(self.buffer)))
+        self.left -= len(data.data)
+        if not self.left:
+            self.stage = after
+        return data
+
+    def _starved(self, what: str) -> None:
+        if self.closed:
+            raise ProtocolError(f"the peer closed inside {what}")
+
+    def _line(self) -> bytes | None:
+        at = self.buffer.find(b"\n", 0, self.limits.line + 2)
+        if at < 0:
+            if len(self.buffer) > self.limits.line:
+                raise ProtocolError("a line is too long")
+            self._starved("a chunk")
+            return None
+        if at == 0 or self.buffer[at - 1] != 13:
+            raise ProtocolError("a line ends without a carriage return")
+        line = bytes(self.buffer[:at - 1])
+        del self.buffer[:at + 1]
+        return line
+
+    def _chunk_lines(self) -> Event | None:
+        while True:
+            if self.stage is _Stage.CHUNK_END:
+                if len(self.buffer) < 2:
+                    self._starved("a chunk")
+                    return None
+                if self.buffer[:2] != b"\r\n":
+                    raise ProtocolError("a chunk does not end where its size says")
+                del self.buffer[:2]
+                self.stage = _Stage.CHUNK_LINE
+            line = self._line()
+            if line is None:
+                return None
+            if self.stage is _Stage.TRAILERS:
+                if not line:
+                    self.stage = _Stage.END
+                    return self._next()
+                self.left += 1  # trailers are checked and dropped
+                if self.left > self.limits.headers:
+                    raise ProtocolError("too many trailers", 431)
+                parse_headers([line], self.limits)
+                continue
+            size = CHUNK_SIZE.fullmatch(line)
+            if size is None:
+                raise ProtocolError("a chunk size is malformed")
+            self.left = int(size[1], 16)
+            if self.left:
+                if self.body_seen + self.left > self.limits.body:
+                    raise ProtocolError("the body is too large", 413)
+                self.stage = _Stage.CHUNK_DATA
+                return self._counted(_Stage.CHUNK_END)
+            self.stage = _Stage.TRAILERS
+
+    def _head_lines(self) -> list[bytes] | None:
+        while self.buffer[:2] == b"\r\n":  # an empty line before a message is passed over (RFC 9112, 2.2)
+            del self.buffer[:2]
+        end = self.buffer.find(b"\r\n\r\n", max(self.head_searched - 3, 0), self.limits.head)
+        if end < 0:
+            if len(self.buffer) >= self.limits.head:
+                raise ProtocolError("the head is too large", 431)
+            if self.buffer and self.closed:
+                raise ProtocolError("the peer closed inside a head")
+            self.head_searched = len(self.buffer)
+            return None
+        head = bytes(self.buffer[:end])
+        del self.buffer[:end + 4]
+        self.head_searched = 0
+        if head.count(b"\n") != head.count(b"\r\n") or head.count(b"\r") != head.count(b"\r\n"):
+            raise ProtocolError("a line ends without CRLF")
+        return head.split(b"\r\n")
+
+    def _head(self) -> Event | None:
+        raise NotImplementedError
+
+
+@dataclass(slots=True)
+class RequestParser(_Parser):
+    """What a server reads."""
+
+    def _head(self) -> Event | None:
+        if self.buffer.startswith(b"\n") or (
+                self.buffer.startswith(b"\r") and bytes(self.buffer[1:2]) not in (b"", b"\n")):
+            raise ProtocolError("a line ends without CRLF")
+        lines = self._head_lines()
+        if lines is None:
+            return None
+        if len(lines[0]) > self.limits.line:
+            raise ProtocolError("the request line is too long", 414)
+        parts = lines[0].split(b" ")
+        if len(parts) != 3 or TOKEN.fullmatch(parts[0]) is None or TARGET.fullmatch(parts[1]) is None:
+            raise ProtocolError("the request line is malformed")
+        version = VERSION.fullmatch(parts[2])
+        if version is None:
+            known = parts[2].startswith(b"HTTP/")
+            raise ProtocolError("the protocol version is not HTTP/1.x", 505 if known else 400)
+        head = RequestHead(parts[0], parts[1], int(version[1]), parse_headers(lines[1:], self.limits))
+        hosts = sum(1 for name, _ in head.headers if name == b"host")
+        if hosts > 1 or (head.minor == 1 and not hosts):
+            raise ProtocolError("not exactly one Host header")
+        self.left = 0
+        if is_chunked(head.headers, head.minor):
+            self.stage = _Stage.CHUNK_LINE
+        else:
+            self.left = content_length(head.headers) or 0
+            self.stage = _Stage.LENGTH
+            if self.left > self.limits.body:
+                raise ProtocolError("the body is too large", 413)
+        return head
+
+
+@dataclass(slots=True)
+class ResponseParser(_Parser):
+    """What a client reads; `expects` is told the method of each request before its response comes."""
+
+    methods: list[bytes] = field(default_factory=list)
+
+    def expects(self, method: bytes) -> None:
+        """A request with this method was sent."""
+        self.methods.append(method)
+
+    def _head(self) -> Event | None:
+        lines = self._head_lines()
+        if lines is None:
+            return None
+        status_line = STATUS_LINE.fullmatch(lines[0])
+        if status_line is None:
+            raise ProtocolError("the status line is malformed")
+        if not self.methods:
+            raise ProtocolError("a response that nobody asked for")
+        head = ResponseHead(int(status_line[2]), int(status_line[1]), parse_headers(lines[1:], self.limits))
+        self.left = 0
+        if 100 <= head.status < 200:
+            if head.status == 101:
+                raise ProtocolError("a protocol switch that nobody asked for")
+            return head  # an interim answer: the next head follows
+        chunked = is_chunked(head.headers, head.minor)
+        length = content_length(head.headers)
+        if self.methods.pop(0) == b"HEAD" or head.status in BODILESS_STATUS:
+            self.stage = _Stage.END
+        elif chunked:
+            self.stage = _Stage.CHUNK_LINE
+        elif length is not None:
+            self.left, self.stage = length, _Stage.LENGTH
+        else:
+            self.stage = _Stage.UNTIL_CLOSE
+        return head
+
+
+REASONS = {
+    100: b"Continue", 200: b"OK", 202: b"Accepted", 204: b"No Content", 400: b"Bad Request",
+    401: b"Unauthorized", 403: b"Forbidden", 404: b"Not Found", 405: b"Method Not Allowed",
+    408: b"Request Timeout", 409: b"Conflict", 411: b"Length Required", 413: b"Content Too Large",
+    414: b"URI Too Long", 415: b"Unsupported Media Type", 422: b"Unprocessable Content",
+    429: b"Too Many Requests", 431: b"Request Header Fields Too Large", 499: b"Client Closed Request",
+    500: b"Internal Server Error", 501: b"Not Implemented", 502: b"Bad Gateway", 503: b"Service Unavailable",
+    504: b"Gateway Timeout", 505: b"HTTP Version Not Supported"}
+
+
+def write_head(first_line: bytes, headers: Headers) -> bytes:
+    """A head's bytes. Raises ValueError where a name or value would break the message."""
+    lines = [first_line]
+    for name, value in headers:
+        if TOKEN.fullmatch(name) is None or VALUE.fullmatch(value) is None:
+            raise ValueError(f"header {name!r} cannot be written")
+        lines.append(name + b": " + value)
+    return b"\r\n".join([*lines, b"", b""])
+
+
+def write_response(status: int, headers: Headers, body: bytes | None) -> bytes:
+    """A response's head, with its whole body, or (None) the head of a body in chunks."""
+    framing = ((b"transfer-encoding", b"chunked") if body is None
+               else (b"content-length", str(len(body)).encode()))
+    return write_head(b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b"-")), [*headers, framing]) + (body or b"")
+
+
+def write_request(method: bytes, target: bytes, headers: Headers, body: bytes) -> bytes:
+    """A request with its whole body."""
+    if TOKEN.fullmatch(method) is None or TARGET.fullmatch(target) is None:
+        raise ValueError(f"request line {method!r} {target!r} cannot be written")
+    if body or method in (b"POST", b"PUT"):
+        headers = [*headers, (b"content-length", str(len(body)).encode())]
+    return write_head(b"%s %s HTTP/1.1" % (method, target), headers) + body
+
+
+def write_chunk(data: bytes) -> bytes:
+    """One chunk; empty data gives nothing, as an empty chunk would end the body."""
+    return b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
--- /dev/null
+++ b/yardspindle/runtime/real.py
@@ -0,0 +1,339 @@
+"""The real World: `select.poll`, non-blocking sockets, the machine's clock, files and signals."""
+
+from __future__ import annotations
+
+import errno
+import os
+import random
+import secrets
+import select
+import signal as signals
+import socket
+import struct
+import time
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from yardspindle.runtime.scheduler import (
+    Cancelled,
+    Channel,
+    Closed,
+    Deadline,
+    DeadlineExceeded,
+    Scheduler,
+    Signal,
+    Task,
+)
+from yardspindle.runtime.world import ConnectError, Listener, Stream, StreamError
+
+T = TypeVar("T")
+READ_MASK = select.POLLIN
+WRITE_MASK = select.POLLOUT
+WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK)
+OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+ACCEPT_PAUSE_US = 50_000  # after the descriptors ran out: time for some connection to close
+
+
+class PollPoller:
+    """Waits for sockets with `select.poll`; one task may wait for reading and one for writing of each."""
+
+    def __init__(self) -> None:
+        """Take the clock's start."""
+        self._epoch_ns = time.time_ns() - time.monotonic_ns()
+        self._poll = select.poll()
+        self._waiting: dict[int, dict[int, Task]] = {}
+        self._wake: Callable[[Task], None] = lambda task: None
+        self.polls = 0
+
+    def now_us(self) -> int:
+        """Microseconds since the epoch."""
+        return (self._epoch_ns + time.monotonic_ns()) // 1_000
+
+    def idle(self) -> bool:
+        """Whether no task waits for a socket."""
+        return not self._waiting
+
+    def wait(self, until_us: int | None) -> None:
+        """Wait for sockets, at most until then."""
+        timeout_ms = None if until_us is None else max(0, -(-(until_us - self.now_us()) // 1_000))
+        self.polls += 1
+        for descriptor, events in self._poll.poll(timeout_ms):
+            waiting = self._waiting.get(descriptor)
+            if waiting is None:
+                continue
+            for mask, task in list(waiting.items()):
+                if events & (mask | select.POLLERR | select.POLLHUP | select.POLLNVAL):
+                    self._wake(task)
+
+    def block(self, scheduler: Scheduler, descriptor: int, mask: int) -> None:
+        """Park the running task until the descriptor is ready."""
+        self._wake = scheduler.wake
+        waiting = self._waiting.setdefault(descriptor, {})
+        assert mask not in waiting, "two tasks wait for the same end of one socket"
+        waiting[mask] = scheduler.current
+        self._poll.register(descriptor, sum(waiting))
+        try:
+            scheduler.park()
+        finally:
+            del waiting[mask]
+            if self._waiting.get(descriptor) is waiting:  # else the descriptor was closed, and may be reused
+                if waiting:
+                    self._poll.register(descriptor, sum(waiting))
+                else:
+                    del self._waiting[descriptor]
+                    self._poll.unregister(descriptor)
+
+    def forget(self, descriptor: int) -> None:
+        """Wake the tasks that wait for a descriptor about to be closed."""
+        waiting = self._waiting.pop(descriptor, None)
+        if waiting is not None:
+            self._poll.unregister(descriptor)
+            for task in list(waiting.values()):
+                self._wake(task)
+
+
+class RealStream:
+    """A non-blocking socket as a Stream."""
+
+    def __init__(self, world: RealWorld, sock: socket.socket) -> None:
+        """Take over a connected socket."""
+        self._world = world
+        self._sock = sock
+        self._descriptor = sock.fileno()
+        self._read_dry = True  # the last read took all there was: wait first, as another try would find nothing
+        sock.setblocking(False)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.peer = str(sock.getpeername()[0])
+        except OSError:
+            self.peer = "?"
+
+    def read(self, limit: int = 65_536) -> bytes:
+        """See Stream."""
+        while True:
+            if self._descriptor < 0:
+                raise StreamError("closed here")
+            if self._read_dry:
+                self._world.poller.block(self._world.scheduler, self._descriptor, READ_MASK)
+                if self._descriptor < 0:
+                    raise StreamError("closed here")
+            self._read_dry = True
+            try:
+                data = self._sock.recv(limit)
+            except OSError as error:
+                if error.errno in WOULD_BLOCK:
+                    continue
+                raise StreamError(os.strerror(error.errno or 0)) from None
+            self._read_dry = 0 < len(data) < limit
+            return data
+
+    def write(self, data: bytes) -> None:
+        """See Stream."""
+        if self._descriptor < 0:
+            raise StreamError("closed here")
+        try:
+            sent = self._sock.send(data)
+            if sent == len(data):
+                return
+            rest = memoryview(data)[sent:]
+        except OSError as error:
+            if error.errno not in WOULD_BLOCK:
+                raise StreamError(os.strerror(error.errno or 0)) from None
+            rest = memoryview(data)
+        while rest:
+            self._world.poller.block(self._world.scheduler, self._descriptor, WRITE_MASK)
+            if self._descriptor < 0:
+                raise StreamError("closed here")
+            try:
+                rest = rest[self._sock.send(rest):]
+            except OSError as error:
+                if error.errno not in WOULD_BLOCK:
+                    raise StreamError(os.strerror(error.errno or 0)) from None
+
+    def quiet(self) -> bool:
+        """See Stream."""
+        if self._descriptor < 0:
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except OSError as error:
+            return error.errno in WOULD_BLOCK
+        return False
+
+    def wait_input(self) -> None:
+        """See Stream."""
+        if self._descriptor >= 0:
+            self._world.poller.block(self._world.scheduler, self._descriptor, READ_MASK)
+
+    def close(self) -> None:
+        """See Stream."""
+        if self._descriptor >= 0:
+            self._world.poller.forget(self._descriptor)
+            self._descriptor = -1
+            self._sock.close()
+
+    def abort(self) -> None:
+        """See Stream."""
+        if self._descriptor >= 0:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.close()
+
+
+class RealListener:
+    """A listening socket."""
+
+    def __init__(self, world: RealWorld, sock: socket.socket) -> None:
+        """Take over a listening socket."""
+        self._world = world
+        self._sock = sock
+        self.host, self.port = sock.getsockname()[:2]
+        self.closed = False
+
+    def accept(self) -> Stream:
+        """See Listener. When descriptors run out it waits and goes on; the backlog holds the clients."""
+        while True:
+            if self.closed:
+                raise Closed
+            try:
+                sock, _ = self._sock.accept()
+                return RealStream(self._world, sock)
+            except OSError as error:
+                if error.errno in WOULD_BLOCK:
+                    self._world.poller.block(self._world.scheduler, self._sock.fileno(), READ_MASK)
+                elif error.errno in OUT_OF_DESCRIPTORS:
+                    self._world.sleep_until(self._world.now_us() + ACCEPT_PAUSE_US)
+                elif error.errno not in (errno.ECONNABORTED, errno.EPROTO):
+                    raise
+
+    def close(self) -> None:
+        """See Listener."""
+        if not self.closed:
+            self.closed = True
+            self._world.poller.forget(self._sock.fileno())
+            self._sock.close()
+
+
+class RealWorld:
+    """See World."""
+
+    def __init__(self, seed: int | None = None) -> None:
+        """Draw a seed from the system unless one is given."""
+        self.seed = secrets.randbits(63) if seed is None else seed
+        self.poller = PollPoller()
+        self.scheduler = Scheduler(self.poller)
+        self.stop = Signal(self.scheduler)
+
+    def run(self, name: str, function: Callable[..., T], *args: Any) -> T:
+        """Run a program to its end."""
+        return self.scheduler.run(name, function, *args)
+
+    def now_us(self) -> int:
+        """See World."""
+        return self.poller.now_us()
+
+    def sleep_until(self, at_us: int) -> None:
+        """See World."""
+        self.scheduler.sleep_until(at_us)
+
+    def deadline(self, at_us: int) -> Deadline:
+        """See World."""
+        return self.scheduler.deadline(at_us)
+
+    def spawn(self, name: str, function: Callable[..., Any], *args: Any) -> Task:
+        """See World."""
+        return self.scheduler.spawn(name, function, *args)
+
+    def current(self) -> Task:
+        """See World."""
+        return self.scheduler.current
+
+    def call_at(self, at_us: int, callback: Callable[[], None]) -> Callable[[], None]:
+        """See World."""
+        return self.scheduler.timers.set(at_us, callback).cancel
+
+    def channel(self, capacity: int) -> Channel[Any]:
+        """See World."""
+        return self.scheduler.channel(capacity)
+
+    def signal(self) -> Signal:
+        """See World."""
+        return Signal(self.scheduler)
+
+    def listen(self, host: str, port: int, backlog: int = 512) -> Listener:
+        """See World."""
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind((host, port))
+            sock.listen(backlog)
+            sock.setblocking(False)
+        except OSError:
+            sock.close()
+            raise
+        return RealListener(self, sock)
+
+    def connect(self, host: str, port: int, deadline_us: int) -> Stream:
+        """See World. Hosts are addresses, not names: a look-up would stop the loop."""
+        try:
+            sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            raise ConnectError(os.strerror(error.errno or 0)) from None
+        try:
+            sock.setblocking(False)
+            code = sock.connect_ex((host, port))
+            if code == errno.EINPROGRESS:
+                with self.deadline(deadline_us):
+                    self.poller.block(self.scheduler, sock.fileno(), WRITE_MASK)
+                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise ConnectError(os.strerror(code))
+            return RealStream(self, sock)
+        except DeadlineExceeded:
+            sock.close()
+            raise ConnectError("no connection in time") from None
+        except (OSError, ConnectError) as error:
+            sock.close()
+            raise ConnectError(str(error)) from None
+        except Cancelled:
+            sock.close()
+            raise
+
+    def random(self, name: str) -> random.Random:
+        """See World."""
+        return random.Random(f"{self.seed} {name}")
+
+    def read_file(self, path: str) -> bytes:
+        """See World."""
+        with open(path, "rb") as file:
+            return file.read()
+
+    def append_file(self, path: str, data: bytes) -> None:
+        """See World."""
+        descriptor = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
+        try:
+            os.write(descriptor, data)
+        finally:
+            os.close(descriptor)
+
+    def stop_on_signals(self) -> None:
+        """Set `stop` at SIGINT or SIGTERM; called from the main thread, inside `run`."""
+        reader, writer = socket.socketpair()
+        writer.setblocking(False)
+        signals.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
+        for number in (signals.SIGINT, signals.SIGTERM):
+            signals.signal(number, lambda *_: None)
+        stream = RealStream(self, reader)
+
+        def watch() -> None:
+            try:
+                stream.read(1)
+                self.stop.set()
+                stream.read(1)
+                os._exit(130)  # a second signal: the drain is not waited for
+            finally:
+                signals.set_wakeup_fd(-1)
+                stream.close()
+                writer.close()
+
+        self.spawn("signals", watch)
--- /dev/null
+++ b/yardspindle/runtime/world.py
@@ -0,0 +1,104 @@
+"""The World: the one seam through which a program meets time, sockets, files and chance.
+
+A program takes a `World` and nothing else from outside, so that the same code runs on the real machine
+(`RealWorld`) and, later, on a seeded virtual one. Times are whole microseconds since the Unix epoch, read from a
+monotonic clock that was set to the wall clock once, at the start: they never step.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from yardspindle.runtime.scheduler import Channel, Deadline, Signal, Task
+
+
+class StreamError(Exception):
+    """The connection broke (reset, or nothing can be written any more)."""
+
+
+class ConnectError(Exception):
+    """No connection was made: nothing was sent."""
+
+
+class Stream(Protocol):
+    """A connected byte stream."""
+
+    peer: str
+
+    def read(self, limit: int = 65_536) -> bytes:
+        """At least one byte, waiting for it; empty at the end. Raises StreamError."""
+
+    def write(self, data: bytes) -> None:
+        """Write all, waiting while the peer takes none. Raises StreamError."""
+
+    def quiet(self) -> bool:
+        """Whether the peer has neither sent anything nor closed: an idle connection fit for use."""
+
+    def wait_input(self) -> None:
+        """Wait until the peer sends or closes, and take nothing."""
+
+    def close(self) -> None:
+        """Close in good order; safe to call again."""
+
+    def abort(self) -> None:
+        """Close with a reset, dropping what was not sent."""
+
+
+class Listener(Protocol):
+    """A listening socket."""
+
+    host: str
+    port: int
+
+    def accept(self) -> Stream:
+        """Wait for a client."""
+
+    def close(self) -> None:
+        """Stop listening; a task in `accept` gets Closed."""
+
+
+class World(Protocol):
+    """What a program may use of its surroundings."""
+
+    stop: Signal
+
+    def now_us(self) -> int:
+        """Microseconds since the epoch; never goes back."""
+
+    def sleep_until(self, at_us: int) -> None:
+        """Wait until then."""
+
+    def deadline(self, at_us: int) -> Deadline:
+        """Bound a `with` block."""
+
+    def spawn(self, name: str, function: Callable[..., Any], *args: Any) -> Task:
+        """Start a task."""
+
+    def current(self) -> Task:
+        """The task that runs."""
+
+    def call_at(self, at_us: int, callback: Callable[[], None]) -> Callable[[], None]:
+        """Call back at a time; gives the function that takes it back."""
+
+    def channel(self, capacity: int) -> Channel[Any]:
+        """A bounded queue between tasks."""
+
+    def signal(self) -> Signal:
+        """A flag that tasks wait for."""
+
+    def listen(self, host: str, port: int, backlog: int = 512) -> Listener:
+        """Listen; port 0 lets the system choose. Raises OSError."""
+
+    def connect(self, host: str, port: int, deadline_us: int) -> Stream:
+        """Connect. Raises ConnectError, also at the deadline."""
+
+    def random(self, name: str) -> random.Random:
+        """A random stream of its own for each name."""
+
+    def read_file(self, path: str) -> bytes:
+        """A file's bytes. Raises OSError."""
+
+    def append_file(self, path: str, data: bytes) -> None:
+        """Append to a file at once, in one write. Raises OSError."""
