Watch the five rules on every command of the edge; test runtime, parsers and core

The edge's core now passes every command through a watch with a record of its own, and releases are owed to each engine until heard or lapsed.

--- /dev/null
+++ b/tests/test_edge_core.py
@@ -0,0 +1,377 @@
+"""The edge's core against a planner that asks for anything and engines that answer anything.
+
+The watch on the rules is a second record of what happened; it must find nothing, whatever is drawn, and it must
+find each fault planted in the life cycle.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from yardspindle import interface as i
+from yardspindle.core import commands as c
+from yardspindle.core import lifecycle
+from yardspindle.core.directory import Server
+from yardspindle.core.edge_core import EdgeCore
+from yardspindle.core.lifecycle import EdgeRules
+
+RULES = EdgeRules(
+    effects={"safe": i.Effect.SAFE, "once": i.Effect.UNSAFE, "keyed": i.Effect.KEYED}, release_us=300_000,
+    drain_grace_us=100_000, answer_slack_us=40_000, retry_after_us=1_000_000, max_attempts=4, most_open=6)
+READER, READER2, WRITER, WRITER2, BOTH = 1, 2, 3, 4, 5
+ROLES = {READER: i.Role.READ, READER2: i.Role.READ, WRITER: i.Role.WRITE, WRITER2: i.Role.WRITE, BOTH: i.Role.BOTH}
+
+
+def fleet(draining: frozenset[int] = frozenset()) -> list[Server]:
+    return [Server(n, f"s{n}", "127.0.0.1", 1000 + n, role,
+                   i.State.DRAINING if n in draining else i.State.SERVING, places=True) for n, role in ROLES.items()]
+
+
+def started() -> EdgeCore:
+    core = EdgeCore(RULES)
+    core.planner_up(0, 7)
+    core.servers(0, fleet())
+    return core
+
+
+def ask(number: int = 1, cls: str = "safe", expires_us: int = 1_000_000) -> i.Request:
+    return i.Request(number, cls, expires_us, 100.0)
+
+
+def of(kind: type[Any], commands: list[c.Command]) -> list[Any]:
+    return [command for command in commands if isinstance(command, kind)]
+
+
+def read_done(core: EdgeCore, number: int = 1, cls: str = "safe") -> None:
+    core.arrive(0, ask(number, cls))
+    core.act(0, 7, i.Send(number, READER))
+    core.attempt_ended(10, number, 0, i.Status.READ, state={"x": 1})
+
+
+# --- the ordinary path and the named hard cases
+
+def test_a_request_is_read_written_and_served() -> None:
+    core = started()
+    assert of(c.TellPlanner, core.arrive(0, ask()))[0].event == ask()
+    read = of(c.Read, core.act(0, 7, i.Send(1, READER)))[0]
+    assert (read.attempt, read.until_us) == (0, 1_000_000)
+    place = of(c.AskPlace, core.act(0, 7, i.Ahead(1, WRITER)))[0]
+    told = of(c.TellPlanner, core.place_answered(5, 1, place.place, place.server, True))
+    assert told[0].event == i.Note(1, 0, READER, True)
+    told = of(c.TellPlanner, core.attempt_ended(10, 1, 0, i.Status.READ, 3, {"x": 1}))
+    assert told[0].event == i.Outcome(1, 0, READER, i.Status.READ, 10, False, 3)
+    write = of(c.Write, core.act(10, 7, i.Send(1, WRITER)))[0]
+    assert (write.state, write.place) == ({"x": 1}, place.place)
+    begun, commands = core.first_token(20, 1, 1)
+    assert begun and of(c.TellPlanner, commands)[0].event == i.First(1, 1, WRITER, 10)
+    out = core.attempt_ended(30, 1, 1, i.Status.SERVED)
+    assert of(c.Answer, out) == [c.Answer(1, c.Final.SERVED, "served", 0, True)]
+    assert not of(c.Release, out) and not core.life.open
+
+
+def test_a_client_that_hangs_up_while_waiting_for_its_state_leaves_nothing_behind() -> None:
+    core = started()
+    read_done(core)
+    core.act(10, 7, i.Send(1, WRITER))
+    out = core.client_left(20, 1)
+    assert of(c.Abort, out) == [c.Abort(1, 1)]
+    assert [r.owed.server.number for r in of(c.Release, out)] == [READER]
+    assert [type(t.event) for t in of(c.TellPlanner, out)] == [i.Hangup, i.Outcome]
+    assert not of(c.Answer, out) and not core.life.open
+
+
+def test_an_unsafe_request_whose_writer_dies_is_one_failure_and_never_runs_again() -> None:
+    core = started()
+    read_done(core, cls="once")
+    core.act(10, 7, i.Send(1, WRITER))
+    assert not of(c.Answer, core.attempt_ended(20, 1, 1, i.Status.RESET))
+    again = core.act(20, 7, i.Send(1, WRITER2))
+    assert not of(c.Write, again) and of(c.Warn, again)[0].rule == "may have run"
+    final = of(c.Answer, core.act(21, 7, i.Refuse(1, 5)))
+    assert [(a.final, a.code) for a in final] == [(c.Final.FAILED, "may_have_run")]
+    assert not core.act(22, 7, i.Fail(1))
+
+
+def test_an_unsafe_request_turned_away_may_be_sent_on() -> None:
+    core = started()
+    read_done(core, cls="once")
+    core.act(10, 7, i.Send(1, WRITER))
+    core.attempt_ended(20, 1, 1, i.Status.FULL)
+    assert of(c.Write, core.act(20, 7, i.Send(1, WRITER2)))
+
+
+def test_a_stream_that_breaks_is_a_failure_told_as_closed() -> None:
+    core = started()
+    read_done(core)
+    core.act(10, 7, i.Send(1, WRITER))
+    core.first_token(15, 1, 1)
+    out = core.attempt_ended(20, 1, 1, i.Status.RESET)
+    assert of(c.Answer, out) == [c.Answer(1, c.Final.FAILED, "stream_broken", 0, True)]
+    assert of(c.TellPlanner, out)[0].event.closed
+
+
+def test_a_planner_that_says_nothing_gets_the_request_failed_in_time() -> None:
+    core = started()
+    core.arrive(0, ask())
+    assert not core.tick(1_030_000)
+    assert of(c.Answer, core.tick(1_041_000))[0].code == "deadline"
+
+
+def test_what_is_held_with_a_silent_planner_is_let_go_in_time() -> None:
+    core = started()
+    read_done(core)
+    out = core.tick(10 + 230_000)
+    assert len(of(c.Release, out)) == 1 and of(c.Warn, out)[0].rule == "held too long"
+    late = core.act(250_000, 7, i.Send(1, WRITER))
+    assert not of(c.Write, late)
+    assert of(c.TellPlanner, late)[0].event == i.Outcome(1, 1, WRITER, i.Status.FULL, 0, False, 1)
+
+
+def test_a_lost_planner_settles_each_request_by_what_is_out() -> None:
+    core = started()
+    for number, cls in ((1, "safe"), (2, "safe"), (3, "once"), (4, "once"), (5, "once")):
+        core.arrive(0, ask(number, cls))
+    core.act(0, 7, i.Send(2, READER))
+    for number in (3, 4, 5):
+        core.act(0, 7, i.Send(number, READER))
+        core.attempt_ended(5, number, 0, i.Status.READ, state={})
+        core.act(5, 7, i.Send(number, WRITER))
+    core.first_token(6, 4, 1)
+    core.attempt_ended(6, 5, 1, i.Status.RESET)
+    out = core.planner_down(10)
+    answers = {a.request: (a.final, a.code) for a in of(c.Answer, out)}
+    assert answers == {1: (c.Final.REFUSED, "planner_lost"), 2: (c.Final.REFUSED, "planner_lost"),
+                       5: (c.Final.FAILED, "may_have_run")}
+    assert of(c.Abort, out) == [c.Abort(2, 0)]
+    core.planner_up(11, 8)
+    assert not core.act(12, 8, i.Fail(4)), "a later planner knows nothing of what an earlier one decided"
+    assert of(c.Answer, core.attempt_ended(20, 4, 1, i.Status.SERVED))[0].final is c.Final.SERVED
+    assert of(c.Answer, core.attempt_ended(20, 3, 1, i.Status.TIMEOUT))[0].final is c.Final.FAILED
+    assert not core.life.open
+
+
+def test_without_a_planner_requests_are_refused_at_once_with_advice() -> None:
+    core = EdgeCore(RULES)
+    assert of(c.Answer, core.arrive(0, ask())) == [c.Answer(1, c.Final.REFUSED, "planner_lost", 1_000_000)]
+
+
+def test_more_than_it_may_hold_is_refused_at_once() -> None:
+    core = started()
+    for number in range(1, 7):
+        assert not of(c.Answer, core.arrive(0, ask(number)))
+    assert of(c.Answer, core.arrive(0, ask(7)))[0].code == "edge_full"
+
+
+def test_nothing_new_goes_to_a_server_past_its_grace() -> None:
+    core = started()
+    core.servers(50, fleet(frozenset({READER})))
+    core.arrive(60, ask(1))
+    assert of(c.Read, core.act(100_050, 7, i.Send(1, READER)))
+    core.arrive(60, ask(2))
+    core.servers(90_000, fleet(frozenset({READER})))  # told again: the first news counts
+    out = core.act(100_051, 7, i.Send(2, READER))
+    assert not of(c.Read, out) and of(c.TellPlanner, out)[0].event.status is i.Status.MOOT
+    core.servers(100_060, [s for s in fleet() if s.number != READER2])
+    assert not of(c.Read, core.act(200_061, 7, i.Send(2, READER2))), "one that left the list is gone"
+
+
+def test_a_place_granted_after_nobody_wants_it_is_let_go() -> None:
+    core = started()
+    core.arrive(0, ask())
+    core.act(0, 7, i.Send(1, READER))
+    place = of(c.AskPlace, core.act(0, 7, i.Ahead(1, WRITER)))[0]
+    second = of(c.AskPlace, core.act(1, 7, i.Ahead(1, WRITER2)))[0]
+    out = core.place_answered(2, 1, place.place, place.server, True)
+    assert [(r.owed.part, r.owed.server.number) for r in of(c.Release, out)] == [(place.place, WRITER)]
+    core.act(3, 7, i.Refuse(1))
+    out = core.place_answered(4, 1, second.place, second.server, None)
+    assert [r.owed.server.number for r in of(c.Release, out)] == [WRITER2]
+
+
+# --- anything at all
+
+steps = st.one_of(
+    st.tuples(st.just("arrive"), st.sampled_from(["safe", "once", "keyed"]), st.integers(1, 400)),
+    st.tuples(st.just("send"), st.integers(0, 5), st.sampled_from([*ROLES, 99])),
+    st.tuples(st.just("ahead"), st.integers(0, 5), st.sampled_from([WRITER, WRITER2, READER])),
+    st.tuples(st.just("act"), st.integers(0, 5), st.sampled_from(["refuse", "fail", "discard", "cancel"])),
+    st.tuples(st.just("end"), st.integers(0, 5), st.sampled_from([*i.Status])),
+    st.tuples(st.just("first"), st.integers(0, 5), st.just(0)),
+    st.tuples(st.just("place"), st.integers(0, 5), st.sampled_from([True, False, None])),
+    st.tuples(st.just("leave"), st.integers(0, 5), st.just(0)),
+    st.tuples(st.just("wait"), st.integers(1, 200), st.just(0)),
+    st.tuples(st.just("drain"), st.sampled_from([READER, WRITER]), st.just(0)),
+    st.tuples(st.just("planner"), st.booleans(), st.just(0)),
+    st.tuples(st.just("release"), st.booleans(), st.just(0)))
+
+
+class Hostile:
+    """Drives a core with drawn steps and keeps what its I/O would know."""
+
+    def __init__(self) -> None:
+        self.now = 0
+        self.core = EdgeCore(RULES)
+        self.epoch = 1
+        self.numbers: list[int] = []
+        self.out: dict[tuple[int, int], bool] = {}  # attempts out; whether the stream has begun
+        self.places: list[c.AskPlace] = []
+        self.releases: list[c.Release] = []
+        self.answers: dict[int, int] = {}
+        self.broken: list[c.Broken] = []
+        self.take(self.core.planner_up(0, 1))
+        self.take(self.core.servers(0, fleet()))
+
+    def take(self, commands: list[c.Command]) -> None:
+        for command in commands:
+            if isinstance(command, (c.Read, c.Write)):
+                self.out[(command.request, command.attempt)] = False
+            elif isinstance(command, c.Abort):
+                del self.out[(command.request, command.attempt)]
+            elif isinstance(command, c.AskPlace):
+                self.places.append(command)
+            elif isinstance(command, c.Release):
+                self.releases.append(command)
+            elif isinstance(command, c.Answer):
+                self.answers[command.request] = self.answers.get(command.request, 0) + 1
+            elif isinstance(command, c.Broken):
+                self.broken.append(command)
+
+    def end(self, key: tuple[int, int], status: i.Status) -> None:
+        state: Any = {} if status is i.Status.READ else None
+        self.take(self.core.attempt_ended(self.now, key[0], key[1], status, 0, state))
+
+    def pick(self, at: int) -> int:
+        return self.numbers[at % len(self.numbers)] if self.numbers else 1
+
+    def tick_to(self, until: int) -> None:
+        while self.now < until:
+            self.now = min(self.now + 20_000, until)
+            self.take(self.core.tick(self.now))
+
+    def step(self, kind: str, a: Any, b: Any) -> None:
+        core, now = self.core, self.now
+        match kind:
+            case "arrive":
+                self.numbers.append(len(self.numbers) + 1)
+                self.take(core.arrive(now, ask(self.numbers[-1], a, now + b * 1_000)))
+            case "send":
+                self.take(core.act(now, self.epoch, i.Send(self.pick(a), b)))
+            case "ahead":
+                self.take(core.act(now, self.epoch, i.Ahead(self.pick(a), b)))
+            case "act":
+                number = self.pick(a)
+                actions: dict[str, i.Action] = {
+                    "refuse": i.Refuse(number), "fail": i.Fail(number), "discard": i.Discard(number),
+                    "cancel": i.Cancel(number, max((k[1] for k in self.out if k[0] == number), default=0))}
+                self.take(core.act(now, self.epoch, actions[b]))
+            case "end" if self.out:
+                key = list(self.out)[a % len(self.out)]
+                streaming = self.out.pop(key)
+                status = b if not (streaming and b in (i.Status.READ, i.Status.FULL)) else i.Status.RESET
+                self.end(key, status)
+            case "first" if self.out:
+                key = list(self.out)[a % len(self.out)]
+                if core.life.open[key[0]].out.server.role is not i.Role.READ:  # type: ignore[union-attr]
+                    begun, commands = core.first_token(now, *key)
+                    self.take(commands)
+                    self.out[key] = begun
+            case "place" if self.places:
+                asked = self.places.pop(a % len(self.places))
+                self.take(core.place_answered(now, asked.request, asked.place, asked.server, b))
+            case "leave":
+                self.take(core.client_left(now, self.pick(a)))
+            case "wait":
+                self.tick_to(now + a * 1_000)
+            case "drain":
+                self.take(core.servers(now, fleet(frozenset({a}))))
+            case "planner":
+                self.take(core.planner_down(now))
+                if a:
+                    self.epoch += 1
+                    self.take(core.planner_up(now, self.epoch))
+                    self.take(core.servers(now, fleet()))
+            case "release" if self.releases:
+                self.take(core.release_settled(now, self.releases.pop(0).owed, a))
+
+    def finish(self) -> None:
+        """The last fault is over: everything ends and nothing stays."""
+        for key, streaming in list(self.out.items()):
+            if streaming:
+                del self.out[key]
+                self.end(key, i.Status.SERVED)
+        for asked in self.places:
+            self.take(self.core.place_answered(self.now, asked.request, asked.place, asked.server, True))
+        self.tick_to(self.now + 1_500_000)
+        while self.releases:
+            self.take(self.core.release_settled(self.now, self.releases.pop(0).owed, True))
+            self.now += 1_000
+            if not self.releases:
+                self.tick_to(self.now + 2_000_000)
+                self.take(self.core._out(self.now, []))
+
+
+def play(script: list[tuple[str, Any, Any]]) -> Hostile:
+    world = Hostile()
+    for step in script:
+        world.step(*step)
+    world.finish()
+    return world
+
+
+@settings(max_examples=400, deadline=None)
+@given(st.lists(steps, max_size=60))
+def test_no_rule_breaks_whatever_planner_engines_and_clients_do(script: list[tuple[str, Any, Any]]) -> None:
+    world = play(script)
+    assert world.broken == []
+    assert all(count == 1 for count in world.answers.values())
+    assert not world.core.life.open and not world.out, "every request ended"
+    assert world.core.releases.owed == 0 and not world.core.watch.open
+    tally = world.core.life.tally
+    assert tally.taken == len(world.numbers) == tally.served + tally.refused + tally.failed + tally.left
+
+
+
+def test_the_watch_finds_each_planted_fault(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fault(change: Callable[[pytest.MonkeyPatch], None], script: list[tuple[str, Any, Any]]) -> set[str]:
+        with monkeypatch.context() as patch:
+            change(patch)
+            return {found.rule for found in play(script).broken}
+
+    def never_ran(patch: pytest.MonkeyPatch) -> None:
+        patch.setattr(lifecycle, "may_have_run", lambda role, status: False)
+
+    written = [("arrive", "once", 400), ("send", 0, READER), ("end", 0, i.Status.READ), ("send", 0, WRITER)]
+    assert fault(never_ran, [*written, ("end", 0, i.Status.RESET), ("act", 0, "refuse")]) == {"no effect twice"}
+    again = [*written, ("end", 0, i.Status.RESET), ("send", 0, READER), ("send", 0, BOTH)]
+    assert fault(never_ran, again) == {"no effect twice"}
+
+    def no_hindrance(patch: pytest.MonkeyPatch) -> None:
+        patch.setattr(lifecycle.Lifecycle, "_hindrance",
+                      lambda self, now, r, number: (None, self.directory.servers.get(number)))
+
+    assert fault(no_hindrance, [("arrive", "safe", 400), ("send", 0, READER), ("send", 0, READER2)]) == {
+        "no effect twice"}
+    drained = [("arrive", "safe", 400), ("drain", READER, 0), ("wait", 150, 0), ("send", 0, READER)]
+    assert fault(no_hindrance, drained) == {"drains kept"}
+
+    def no_ticks(patch: pytest.MonkeyPatch) -> None:
+        patch.setattr(lifecycle.Lifecycle, "tick", lambda self, now: [])
+
+    assert fault(no_ticks, [("arrive", "safe", 100)]) == {"one final answer"}
+    held = [("arrive", "safe", 400), ("send", 0, READER), ("end", 0, i.Status.READ), ("wait", 199, 0)] * 1
+    assert "nothing left pinned" in fault(no_ticks, [*held, ("wait", 199, 0)])
+
+    def answers_twice(patch: pytest.MonkeyPatch) -> None:
+        def answer(self: Any, now: int, r: Any, final: c.Final, code: str, retry: int = 0) -> None:
+            r.final = None
+            self._final(r, final, code, retry)
+
+        patch.setattr(lifecycle.Lifecycle, "_answer", answer)
+
+    assert fault(answers_twice, [("arrive", "safe", 400), ("act", 0, "fail"), ("act", 0, "fail")]) >= {
+        "one final answer"}
--- a/yardspindle/core/commands.py
+++ b/yardspindle/core/commands.py
@@ -8,6 +8,7 @@
 
 from yardspindle import interface as i
 from yardspindle.core.directory import Server
+from yardspindle.core.releases import Owed
 
 
 class Final(Enum):
@@ -111,5 +112,21 @@
     rule: str
 
 
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Tell an engine to let go of something, and report whether it heard."""
+
+    owed: Owed
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The watch found a rule broken: for the log and the metrics."""
+
+    rule: str
+    request: int
+    text: str
+
+
 Command = (Read | Write | AskPlace | ReleaseState | ReleasePlace | Abort | Answer | CloseIdle | TellPlanner
-           | Warn)
+           | Warn | Release | Broken)
--- a/yardspindle/core/directory.py
+++ b/yardspindle/core/directory.py
@@ -18,7 +18,7 @@
     role: Role
     state: State
     places: bool  # it has our extension: places ahead and releases
-    closed_us: int = 0  # since when the edge knows that it drains or is gone; 0 while it serves
+    closed_us: int | None = None  # since when the edge knows that it drains or is gone; None while it serves
 
 
 @dataclass(slots=True)
@@ -37,14 +37,15 @@
         for server in fresh.values():
             before = self.servers.get(server.number)
             if server.state is State.SERVING:
-                server.closed_us = 0
+                server.closed_us = None
             else:
-                server.closed_us = (before.closed_us if before is not None else 0) or now_us
+                known_us = before.closed_us if before is not None else None
+                server.closed_us = now_us if known_us is None else known_us
         self.servers = fresh
 
     def open_for(self, number: int, now_us: int, grace_us: int) -> Server | None:
         """The server, if new work may still go there; the rule on drains is kept here whatever a planner says."""
         server = self.servers.get(number)
-        if server is None or (server.closed_us and now_us > server.closed_us + grace_us):
+        if server is None or (server.closed_us is not None and now_us > server.closed_us + grace_us):
             return None
         return server
--- /dev/null
+++ b/yardspindle/core/edge_core.py
@@ -0,0 +1,117 @@
+"""The edge's whole core: life cycles, the watch on the rules, and what engines are still to let go of.
+
+The edge's I/O calls this and nothing else of the core for a request's life. Every command passes the watch before
+it goes out; releases become what is owed to each engine and come out as that engine can be told.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from yardspindle import interface as i
+from yardspindle.core import commands as c
+from yardspindle.core.directory import Server
+from yardspindle.core.lifecycle import EdgeRules, Lifecycle
+from yardspindle.core.releases import Owed, Releases, Thing
+from yardspindle.core.rules import RuleWatch
+
+
+class EdgeCore:
+    """One edge's core. Every method takes the time and gives the commands to carry out, in order."""
+
+    def __init__(self, rules: EdgeRules) -> None:
+        """Start without a planner."""
+        self.life = Lifecycle(rules)
+        self.watch = RuleWatch(rules)
+        self.releases = Releases()
+
+    @property
+    def epoch(self) -> int:
+        """The planner that decides; 0: none."""
+        return self.life.epoch
+
+    @property
+    def busy(self) -> bool:
+        """Whether time has to be looked at."""
+        return bool(self.life.open) or bool(self.releases.owed)
+
+    def planner_up(self, now_us: int, epoch: int) -> list[c.Command]:
+        """A planner decides from now on."""
+        return self._out(now_us, self.life.planner_up(now_us, epoch))
+
+    def planner_down(self, now_us: int) -> list[c.Command]:
+        """No planner decides."""
+        return self._out(now_us, self.life.planner_down(now_us))
+
+    def servers(self, now_us: int, listed: list[Server]) -> list[c.Command]:
+        """The planner's list of servers."""
+        return self._out(now_us, self.life.servers(now_us, listed))
+
+    def arrive(self, now_us: int, ask: i.Request) -> list[c.Command]:
+        """A client's request."""
+        self.watch.arrived(now_us, ask)
+        return self._out(now_us, self.life.arrive(now_us, ask))
+
+    def client_left(self, now_us: int, request: int) -> list[c.Command]:
+        """The client hung up."""
+        self.watch.left(now_us, request)
+        return self._out(now_us, self.life.client_left(now_us, request))
+
+    def act(self, now_us: int, epoch: int, action: i.Action) -> list[c.Command]:
+        """An action of a planner's start."""
+        return self._out(now_us, self.life.act(now_us, epoch, action))
+
+    def place_answered(self, now_us: int, request: int, number: int, server: Server,
+                       held: bool | None) -> list[c.Command]:
+        """A writer said yes or no to a place, or (None) was not heard."""
+        self.watch.place(request, number, server.name, bool(held))
+        return self._out(now_us, self.life.place_answered(now_us, request, number, server, held))
+
+    def first_token(self, now_us: int, request: int, number: int) -> tuple[bool, list[c.Command]]:
+        """The answer begins; whether the request is still there for it."""
+        begun = self.life.first_token(now_us, request, number)
+        if begun:
+            self.watch.began(request)
+        return begun, self._out(now_us, self.life.told())
+
+    def attempt_ended(self, now_us: int, request: int, number: int, status: i.Status, note: int = 0,
+                      state: Any = None) -> list[c.Command]:
+        """An attempt ended by itself or by its time-out."""
+        self.watch.ended(now_us, request, number, status, note)
+        return self._out(now_us, self.life.attempt_ended(now_us, request, number, status, note, state))
+
+    def tick(self, now_us: int) -> list[c.Command]:
+        """Look at the clock."""
+        commands = self._out(now_us, self.life.tick(now_us))
+        self.watch.check_time(now_us)
+        return [*commands, *self._broken()]
+
+    def release_settled(self, now_us: int, owed: Owed, heard: bool) -> list[c.Command]:
+        """An engine confirmed a release, or was not heard."""
+        self.releases.settled(now_us, owed, heard)
+        return self._due(now_us)
+
+    def _out(self, now_us: int, commands: list[c.Command]) -> list[c.Command]:
+        allowed = self.watch.check(now_us, commands)
+        if len(allowed) < len(commands):
+            for command in commands:
+                if isinstance(command, (c.Read, c.Write)) and command not in allowed:
+                    allowed += self.life.attempt_ended(now_us, command.request, command.attempt, i.Status.MOOT)
+        out: list[c.Command] = []
+        for command in allowed:
+            match command:
+                case c.ReleaseState(request, attempt, server):
+                    self.releases.owe(now_us, server, Thing.STATE, request, attempt)
+                case c.ReleasePlace(request, place, server):
+                    self.releases.owe(now_us, server, Thing.PLACE, request, place)
+                case _:
+                    out.append(command)
+        return [*out, *self._due(now_us), *self._broken()]
+
+    def _due(self, now_us: int) -> list[c.Command]:
+        if not self.releases.owed:
+            return []
+        return [c.Release(owed) for owed in self.releases.take_due(now_us)]
+
+    def _broken(self) -> list[c.Command]:
+        return [c.Broken(found.rule, found.request, found.text) for found in self.watch.take_breaks()]
--- a/yardspindle/core/lifecycle.py
+++ b/yardspindle/core/lifecycle.py
@@ -242,7 +242,7 @@
         server = self.directory.servers.get(ahead.server)
         if r.out is None or r.out.server.role is not i.Role.READ or server is None:
             return
-        if server.closed_us or not server.places:
+        if server.closed_us is not None or not server.places:
             return  # asked nowhere: as at a writer that cannot be heard, no note comes
         r.places += 1
         r.place = Place(r.places, server)
--- /dev/null
+++ b/yardspindle/core/rules.py
@@ -0,0 +1,194 @@
+"""The five rules, checked on every command that leaves the edge's core. Always on.
+
+`Lifecycle` is written to keep the rules; this watches that it does, with a record of its own that shares no state
+with it: what was taken, what is out, what may have run, what is held, what was answered. A break is counted and
+logged with the request, and the command that would do harm is withheld where withholding is safe: a second
+answer, an attempt that must not be made. The property tests and the virtual clock read the same record.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from yardspindle import interface as i
+from yardspindle.core import commands as c
+from yardspindle.core.lifecycle import EdgeRules
+from yardspindle.core.proof import PROVES_NOT_RUN
+
+LATE_TICK_US = 40_000  # the core looks at its clock every 20 ms; a busy loop may be one look late
+KEPT_ENDED = 2_000  # ended requests that are remembered, to catch what comes after an end
+
+
+@dataclass(slots=True)
+class Watched:
+    """What this record knows of a request."""
+
+    expires_us: int
+    effect: i.Effect
+    out: dict[int, tuple[bool, str]] = field(default_factory=dict)  # attempt: is a write, server
+    ran: bool = False
+    streaming: bool = False
+    answered: bool = False
+    left: bool = False
+    state: tuple[int, str] | None = None  # the read's attempt, server
+    places: dict[int, str] = field(default_factory=dict)
+    idle_since_us: int = 0
+
+    @property
+    def over(self) -> bool:
+        """Nothing more is owed to the client."""
+        return self.answered or self.left
+
+
+@dataclass(frozen=True, slots=True)
+class Break:
+    """A rule that was broken, or would have been."""
+
+    rule: str
+    request: int
+    text: str
+
+
+class RuleWatch:
+    """Checks the commands of one edge."""
+
+    def __init__(self, rules: EdgeRules) -> None:
+        """Nothing taken yet."""
+        self._rules = rules
+        self.open: dict[int, Watched] = {}
+        self._ended: dict[int, Watched] = {}
+        self.breaks: list[Break] = []
+
+    # --- what comes in
+
+    def arrived(self, now_us: int, ask: i.Request) -> None:
+        """A request was taken."""
+        self.open[ask.request] = Watched(ask.expires_us, self._rules.effects[ask.cls], idle_since_us=now_us)
+
+    def left(self, now_us: int, request: int) -> None:
+        """Its client is gone."""
+        if (known := self.open.get(request)) is not None:
+            known.left = True
+            self._forget(request, known)
+
+    def began(self, request: int) -> None:
+        """Its stream has begun."""
+        if (known := self.open.get(request)) is not None:
+            known.streaming = True
+            known.state = None
+
+    def ended(self, now_us: int, request: int, attempt: int, status: i.Status, note: int) -> None:
+        """An attempt ended by itself."""
+        known = self._known(request)
+        if known is None or attempt not in known.out:
+            return
+        write, server = known.out.pop(attempt)
+        known.idle_since_us = now_us
+        if write and status not in PROVES_NOT_RUN:
+            known.ran = True
+        if status is i.Status.READ:
+            known.state = attempt, server
+        elif write and (note == 1 or status is i.Status.SERVED):
+            known.state = None
+
+    def place(self, request: int, place: int, server: str, held: bool) -> None:
+        """A writer holds a place for a request, or does not."""
+        known = self._known(request)
+        if known is not None and held and not (known.over and not known.out):
+            known.places[place] = server
+
+    # --- what goes out
+
+    def check(self, now_us: int, commands: list[c.Command]) -> list[c.Command]:
+        """The commands that may be carried out; breaks are noted."""
+        return [command for command in commands if self._allowed(now_us, command)]
+
+    def _allowed(self, now_us: int, command: c.Command) -> bool:
+        match command:
+            case c.Read() | c.Write():
+                return self._attempt(now_us, command)
+            case c.Abort(request, attempt):
+                known = self._known(request)
+                if known is not None and attempt in known.out:
+                    write, _ = known.out.pop(attempt)
+                    known.ran = known.ran or write
+                    known.idle_since_us = now_us
+                    self._forget(request, known)
+            case c.ReleaseState(request, attempt):
+                known = self._known(request)
+                if known is not None and known.state is not None and known.state[0] == attempt:
+                    known.state = None
+            case c.ReleasePlace(request, place):
+                known = self._known(request)
+                if known is not None:
+                    known.places.pop(place, None)
+            case c.Answer():
+                return self._answer(now_us, command)
+            case _:
+                pass
+        return True
+
+    def _attempt(self, now_us: int, command: c.Read | c.Write) -> bool:
+        known = self.open.get(command.request)
+        write = isinstance(command, c.Write)
+        if known is None or known.over:
+            return self._broken("one final answer", command.request, "an attempt after the end")
+        if known.out:
+            return self._broken("no effect twice", command.request, "a second attempt while one is out")
+        if known.ran and known.effect is not i.Effect.SAFE:
+            return self._broken("no effect twice", command.request, "an attempt though one may have run")
+        closed_us = command.server.closed_us
+        if closed_us is not None and now_us > closed_us + self._rules.drain_grace_us:
+            return self._broken("drains kept", command.request, f"an attempt at {command.server.name}")
+        known.out[command.attempt] = write, command.server.name
+        if isinstance(command, c.Write) and command.place is not None:
+            known.places.pop(command.place, None)
+        return True
+
+    def _answer(self, now_us: int, answer: c.Answer) -> bool:
+        known = self.open.get(answer.request)
+        if known is None or known.over:
+            return self._broken("one final answer", answer.request, f"a second one: {answer.code}")
+        harmless = known.effect is i.Effect.SAFE or not (
+            known.ran or any(write for write, _ in known.out.values()))
+        if answer.final is c.Final.REFUSED and not harmless:
+            self._broken("no effect twice", answer.request, "a refusal though it may have run")
+        late_us = now_us - known.expires_us - self._rules.answer_slack_us - LATE_TICK_US
+        if late_us > 0 and not known.streaming:
+            self._broken("one final answer", answer.request, f"{late_us} us late")
+        known.answered = True
+        self._forget(answer.request, known)
+        return True
+
+    def check_time(self, now_us: int) -> None:
+        """What only time breaks: an answer overdue, a state or place held with nothing out."""
+        for request, known in list(self.open.items()):
+            if not known.streaming and now_us > known.expires_us + self._rules.answer_slack_us + LATE_TICK_US:
+                self._broken("one final answer", request, "none in time")
+                known.left = True
+                self._forget(request, known)
+        for request, known in (*self.open.items(), *self._ended.items()):
+            held = known.state is not None or known.places
+            if held and not known.out and now_us - known.idle_since_us > self._rules.release_us:
+                self._broken("nothing left pinned", request, "held with no attempt out")
+                known.state = None
+                known.places.clear()
+
+    def _broken(self, rule: str, request: int, text: str) -> bool:
+        self.breaks.append(Break(rule, request, text))
+        return False
+
+    def _known(self, request: int) -> Watched | None:
+        return self.open.get(request) or self._ended.get(request)
+
+    def _forget(self, request: int, known: Watched) -> None:
+        if known.over and request in self.open:
+            del self.open[request]
+            self._ended[request] = known
+            while len(self._ended) > KEPT_ENDED:
+                del self._ended[next(iter(self._ended))]
+
+    def take_breaks(self) -> list[Break]:
+        """The breaks since the last call."""
+        taken, self.breaks = self.breaks, []
+        return taken
--- a/yardspindle/edge/app.py
+++ b/yardspindle/edge/app.py
@@ -12,8 +12,8 @@
 from yardspindle.core.answer import DONE, AnswerState, Collected, http_of
 from yardspindle.core.commands import Final
 from yardspindle.core.config import Config, edge_rules, microseconds, settings_hash, split_address
+from yardspindle.core.edge_core import EdgeCore
 from yardspindle.core.intake import Intake, IntakeError
-from yardspindle.core.lifecycle import Lifecycle
 from yardspindle.edge.executor import Executor, Running, served_body
 from yardspindle.edge.metrics import EdgeMetrics
 from yardspindle.edge.planner_link import PlannerLink
@@ -45,7 +45,7 @@
         self._unsafe = {row.name for row in config.classes if row.effect != "safe"}
         self._keys = chat.Keys(config)
         self.metrics = EdgeMetrics()
-        self.core = Lifecycle(edge_rules(config))
+        self.core = EdgeCore(edge_rules(config))
         self.intake = Intake(config)
         edge = config.edge
         self.http = HttpClient(world, microseconds(edge.connect_ms), microseconds(edge.engine_idle_ms))
@@ -87,7 +87,7 @@
         while True:
             now = self.world.now_us()
             self.world.sleep_until(now + TICK_US)
-            if self.core.open:
+            if self.core.busy:
                 self.executor.perform(self.core.tick(self.world.now_us()))
             if now - closed_us > CLOSE_OLD_US:
                 closed_us = now
@@ -133,7 +133,7 @@
 
     def _page(self, path: bytes, head: http1.RequestHead) -> Reply:
         if path == b"/metrics":
-            self.metrics.open_requests.set(len(self.core.open))
+            self.metrics.open_requests.set(len(self.core.life.open))
             self.metrics.connections.set(self._server.connections if self._server else 0)
             return Reply(200, [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")],
                          self.metrics.text())
--- a/yardspindle/edge/executor.py
+++ b/yardspindle/edge/executor.py
@@ -17,8 +17,9 @@
 from yardspindle.core import commands as c
 from yardspindle.core.answer import AnswerState, Collected
 from yardspindle.core.commands import Final
+from yardspindle.core.edge_core import EdgeCore
 from yardspindle.core.intake import Intake, Taken
-from yardspindle.core.lifecycle import Lifecycle
+from yardspindle.core.releases import Owed, Thing
 from yardspindle.edge.metrics import EdgeMetrics
 from yardspindle.engine import vllm
 from yardspindle.engine.http_client import ExchangeBroken
@@ -26,9 +27,7 @@
 from yardspindle.runtime.scheduler import Cancelled, DeadlineExceeded, Signal, Task
 from yardspindle.runtime.world import StreamError, World
 
-RELEASE_US = 2_000_000  # for one try of a release; the engine's own time-out covers what is never heard
-RELEASE_TRIES = 3
-RELEASE_PAUSE_US = 50_000
+RELEASE_US = 1_000_000  # for one try of a release
 PLACE_US = 1_000_000
 FINISH_US = 1_000_000  # for the bytes after an answer's last event
 
@@ -59,7 +58,7 @@
 class Executor:
     """The hands of the core."""
 
-    def __init__(self, world: World, core: Lifecycle, engines: vllm.EngineClient, metrics: EdgeMetrics,
+    def __init__(self, world: World, core: EdgeCore, engines: vllm.EngineClient, metrics: EdgeMetrics,
                  intake: Intake, stalled_us: int, tell: Callable[[i.Event], None]) -> None:
         """`stalled_us`: how long a running stream may bring nothing."""
         self._world = world
@@ -87,12 +86,8 @@
                         run.attempts.pop(command.attempt).cancel()
                 case c.AskPlace():
                     self._world.spawn("place", self._ask_place, command)
-                case c.ReleaseState(request, attempt, server) if server.places:
-                    self._world.spawn("release", self._release, lambda r=request, a=attempt, s=server:
-                                      self._engines.release_state(s, r, a))
-                case c.ReleasePlace(request, place, server) if server.places:
-                    self._world.spawn("release", self._release, lambda r=request, p=place, s=server:
-                                      self._engines.release_place(s, r, p))
+                case c.Release(owed):
+                    self._world.spawn("release", self._release, owed)
                 case c.Answer():
                     run = self.running.get(command.request)
                     if run is not None:
@@ -104,8 +99,12 @@
                     self._metrics.interlocks.labels(rule).inc()
                     run = self.running.get(request)
                     log.warning("interlock", rule=rule, request_id=run.request_id if run else str(request))
-                case _:
-                    pass  # a release at an engine without the extension: its own time-out lets go
+                case c.Broken(rule, request, text):
+                    self._metrics.broken.labels(rule).inc()
+                    run = self.running.get(request)
+                    log.error("rule broken", rule=rule, text=text, request_id=run.request_id if run else str(request))
+                case c.ReleaseState() | c.ReleasePlace():
+                    raise AssertionError("a release that the core did not take in hand")
 
     def _start(self, request: int, attempt: int, run_attempt: Callable[[Any, Running], None],
                command: c.Read | c.Write) -> None:
@@ -172,9 +171,10 @@
             return vllm.Ended(i.Status.RESET, detail="the answer ended before it began")
         if vllm_error := next((data for data in first[:1] if data.startswith(b'{"error"')), None):
             return vllm.Ended(i.Status.ERROR, detail=vllm_error[:200].decode(errors="replace"))
-        if not self._core.first_token(self._world.now_us(), command.request, command.attempt):
+        begun, commands = self._core.first_token(self._world.now_us(), command.request, command.attempt)
+        self.perform(commands)
+        if not begun:
             return None
-        self.perform(self._core.told())
         run.first_us = self._world.now_us()
         self._metrics.first_token.labels(run.taken.request.cls).observe((run.first_us - run.came_us) / 1e6)
         stop_guard = self._guard_stall(run, answer)
@@ -249,15 +249,16 @@
         self.perform(self._core.place_answered(
             self._world.now_us(), command.request, command.place, command.server, held))
 
-    def _release(self, release: Callable[[], bool]) -> None:
-        for _ in range(RELEASE_TRIES):
-            try:
-                with self._world.deadline(self._world.now_us() + RELEASE_US):
-                    if release():
-                        return
-            except DeadlineExceeded:
-                pass
-            self._world.sleep_until(self._world.now_us() + RELEASE_PAUSE_US)
+    def _release(self, owed: Owed) -> None:
+        heard = False
+        try:
+            with self._world.deadline(self._world.now_us() + RELEASE_US):
+                release = (self._engines.release_state if owed.thing is Thing.STATE
+                           else self._engines.release_place)
+                heard = release(owed.server, owed.request, owed.part)
+        except DeadlineExceeded:
+            pass
+        self.perform(self._core.release_settled(self._world.now_us(), owed, heard))
 
 
 def served_body(run: Running) -> bytes:
--- a/yardspindle/edge/metrics.py
+++ b/yardspindle/edge/metrics.py
@@ -28,6 +28,8 @@
                                      registry=self.registry)
         self.interlocks = Counter("yardspindle_interlocks", "Actions the edge refused or took by itself", ("rule",),
                                   registry=self.registry)
+        self.broken = Counter("yardspindle_broken_rules", "Rules that the watch found broken", ("rule",),
+                              registry=self.registry)
         self.planner_up = Gauge("yardspindle_planner_up", "Whether a planner decides", registry=self.registry)
         self.open_requests = Gauge("yardspindle_open_requests", "Requests taken and not done with",
                                    registry=self.registry)
--- a/yardspindle/protocol/http1.py
+++ b/yardspindle/protocol/http1.py
@@ -18,6 +18,7 @@
 DIGITS = re.compile(rb"[0-9]{1,18}")
 CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})((?:[ \t]*;[\t -~\x80-\xff]*)?)")
 STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: ([\t -~\x80-\xff]*))?")
+BARE_LF = re.compile(rb"(?<!\r)\n")
 BODILESS_STATUS = (204, 304)
 
 Headers = list[tuple[bytes, bytes]]
@@ -292,6 +293,8 @@
         if end < 0:
             if len(self.buffer) >= self.limits.head:
                 raise ProtocolError("the head is too large", 431)
+            if BARE_LF.search(self.buffer, self.head_searched):
+                raise ProtocolError("a line ends without CRLF")  # at once: waiting for more would wait for ever
             if self.buffer and self.closed:
                 raise ProtocolError("the peer closed inside a head")
             self.head_searched = len(self.buffer)
@@ -312,8 +315,7 @@
     """What a server reads."""
 
     def _head(self) -> Event | None:
-        if self.buffer.startswith(b"\n") or (
-                self.buffer.startswith(b"\r") and bytes(self.buffer[1:2]) not in (b"", b"\n")):
+        if self.buffer.startswith(b"\r") and bytes(self.buffer[1:2]) not in (b"", b"\n"):
             raise ProtocolError("a line ends without CRLF")
         lines = self._head_lines()
         if lines is None:
--- a/yardspindle/runtime/scheduler.py
+++ b/yardspindle/runtime/scheduler.py
@@ -158,7 +158,7 @@
 
     def run(self, name: str, function: Callable[..., T], *args: Any) -> T:
         """Run a task and all it spawns on this thread; when it ends, cancel what is left and wait for that."""
-        self.hub.parent = greenlet.getcurrent()
+        self.hub = greenlet.greenlet(self._loop, greenlet.getcurrent())
         main = self.spawn(name, function, *args)
         main._observed = True
         self._main = main
@@ -317,12 +317,9 @@
         queue.append(task)
         try:
             self._scheduler.park()
-        except BaseException:
+        finally:
             if task in queue:
                 queue.remove(task)
-            elif queue:  # it had been woken for an item that it will not take
-                self._wake_first(queue)
-            raise
 
     def _wake_first(self, queue: deque[Task]) -> None:
         while queue:
