--- /dev/null
+++ b/tests/fleet_thread.py
@@ -0,0 +1,144 @@
+"""A whole router with stand-in engines in one World in a thread, for clients that block."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import threading
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from yardspindle.core.config import Config, parse
+from yardspindle.edge.app import Edge
+from yardspindle.lab.engine import Engine, EngineSettings
+from yardspindle.lab.fleet import to_toml
+from yardspindle.planner.app import Planner
+from yardspindle.runtime.real import RealWorld
+
+CONFIG: dict[str, Any] = {
+    "classes": [{"name": "chat", "effect": "safe", "aim_ms": 1_500, "give_up_ms": 3_000},
+                {"name": "order", "effect": "unsafe", "aim_ms": 1_500, "give_up_ms": 3_000}],
+    "rules": {"max_retry_after_ms": 200}, "planner": {"reread_ms": 20}}
+
+
+class FleetThread:
+    """Edge, planner and engines; `call` runs a function inside the World and gives its result."""
+
+    def __init__(self, folder: Path, config: dict[str, Any] | None = None,
+                 boxes: tuple[EngineSettings, ...] | None = None) -> None:
+        self.folder = folder
+        self.journal = folder / "journal.jsonl"
+        base = {**CONFIG, **(config or {})}
+        self.boxes = boxes or (EngineSettings(name="r0", role="read"), EngineSettings(name="w0", role="write"))
+        self.document = {**base, "planner": {**base.get("planner", {}), "servers": str(folder / "servers.toml"),
+                                             "listen": "127.0.0.1:0"}}
+        self.world = RealWorld(seed=7)
+        self.engines: list[Engine] = []
+        self.states: dict[str, str] = {}
+        self._calls: list[tuple[Callable[[], Any], list[Any], threading.Event]] = []
+        self._ready, self._stop = threading.Event(), threading.Event()
+        self.crashes: list[str] = []
+        self._thread = threading.Thread(target=self._run)
+
+    def __enter__(self) -> FleetThread:
+        self._thread.start()
+        assert self._ready.wait(20)
+        assert not self.crashes, self.crashes
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stop.set()
+        self._thread.join(20)
+        assert not self._thread.is_alive()
+
+    @property
+    def url(self) -> str:
+        return f"http://127.0.0.1:{self.port}/v1"
+
+    def _run(self) -> None:
+        self.world.scheduler.on_crash = lambda task, error: self.crashes.append(f"{task.name}: {error!r}")
+        try:
+            self.world.run("fleet", self._program)
+        except BaseException as error:
+            self.crashes.append(repr(error))
+            raise
+        finally:
+            self._ready.set()
+
+    def _program(self) -> None:
+        for box in self.boxes:
+            named = {name: getattr(box, name) for name in box.__struct_fields__}
+            engine = Engine(self.world, EngineSettings(**{**named, "journal": str(self.journal)}))
+            engine.start("127.0.0.1", 0)
+            self.engines.append(engine)
+        self.write_list()
+        self.start_planner("127.0.0.1:0")
+        edge = {"planner": f"127.0.0.1:{self.planner_port}", **self.document.get("edge", {})}
+        self.config = self._parse({**self.document, "edge": edge})
+        self.edge = Edge(self.world, self.config)
+        _, self.port = self.edge.start()
+        self._ready.set()
+        while not self._stop.is_set():
+            self.world.sleep_until(self.world.now_us() + 2_000)
+            while self._calls:
+                function, result, done = self._calls.pop(0)
+                try:
+                    result.append(function())
+                finally:
+                    done.set()
+
+    def start_planner(self, listen: str) -> None:
+        planner = {**self.document["planner"], "listen": listen}
+        self.planner = Planner(self.world, self._parse({**self.document, "planner": planner}))
+        _, self.planner_port = self.planner.start()
+
+    def stop_planner(self) -> None:
+        """As if it were killed: its links break and nobody listens."""
+        assert self.planner._listener is not None
+        self.planner._listener.close()
+        for session in self.planner.sessions:
+            session._stream.abort()
+
+    def _parse(self, document: dict[str, Any]) -> Config:
+        return parse("test", to_toml(document))
+
+    def write_list(self, **states: str) -> None:
+        self.states |= states
+        rows = [f"count = {len(self.engines)}"]
+        for engine in self.engines:
+            kind = {"read": "reader", "write": "writer"}[engine.set.role]
+            rows += ["[[servers]]", f'name = "{engine.set.name}"', f'address = "127.0.0.1:{engine.port}"',
+                     f'kind = "{kind}"', f'state = "{self.states.get(engine.set.name, "serving")}"',
+                     f"places = {str(engine.set.places).lower()}"]
+        (self.folder / "servers.toml").write_text("\n".join(rows))
+
+    def call(self, function: Callable[[], Any]) -> Any:
+        result: list[Any] = []
+        done = threading.Event()
+        self._calls.append((function, result, done))
+        assert done.wait(20)
+        return result[0]
+
+    def until(self, condition: Callable[[], bool]) -> None:
+        """Wait inside the World for a condition that must come true."""
+        def wait() -> bool:
+            with self.world.deadline(self.world.now_us() + 10_000_000):
+                while not condition():
+                    self.world.sleep_until(self.world.now_us() + 2_000)
+            return True
+        assert self.call(wait)
+
+    def control(self, name: str, do: str, factor: float = 1.0) -> None:
+        port = next(engine.port for engine in self.engines if engine.set.name == name)
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+        connection.request("POST", "/v1/lab/control", json.dumps({"do": do, "factor": factor}),
+                           {"content-type": "application/json"})
+        assert connection.getresponse().status == 200
+        connection.close()
+
+    def events(self, kind: str) -> list[dict[str, Any]]:
+        if not self.journal.exists():
+            return []
+        lines = self.journal.read_text().splitlines()
+        return [event for event in map(json.loads, lines) if event["ev"] == kind]
--- /dev/null
+++ b/tests/test_cores.py
@@ -0,0 +1,371 @@
+"""Configuration, server list, directory, estimate, intake, answers, releases, planning, link frames."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from yardspindle import interface as i
+from yardspindle.core import config as cfg
+from yardspindle.core.answer import AnswerState, Collected, http_of
+from yardspindle.core.commands import Answer, Final
+from yardspindle.core.directory import Server
+from yardspindle.core.estimate import TokenEstimate
+from yardspindle.core.intake import Intake, IntakeError, Said
+from yardspindle.core.planning import PlanningSession
+from yardspindle.core.proof import status_of_refusal
+from yardspindle.core.releases import AT_ONCE_MOST, LAPSE_US, OWED_MOST, Releases, Thing
+from yardspindle.core.roster import Roster, parse_list
+from yardspindle.link import frames
+
+DEFAULT = cfg.parse("f", b"")
+
+
+# --- configuration
+
+@pytest.mark.parametrize(("text", "says"), [
+    ("colour = 1", "c.toml: colour: unknown key"),
+    ("[edge]\nlisten = 3", "c.toml: edge.listen: expected `str`, got `int`"),
+    ("[edge]\nlisten = 'localhost:80'", "c.toml: edge.listen: expected `str` matching regex"),
+    ("[edge]\nlisten = '127.0.0.1:70000'", "c.toml: edge.listen: not an address"),
+    ("[edge]\nlisten = '127.0.0.999:70'", "c.toml: edge.listen: not an address"),
+    ("[rules]\nrelease_ms = 0", "c.toml: rules.release_ms: expected `float` > 0"),
+    ("[rules]\nanswer_slack_ms = 90", "c.toml: rules.answer_slack_ms: not under answer_margin_ms (80)"),
+    ("[[classes]]\neffect = 'safe'", "c.toml: classes[0].name: missing"),
+    ("[[classes]]\nname = 'a'\neffect = 'mild'", "c.toml: classes[0].effect: invalid enum value 'mild'"),
+    ("[[classes]]\nname = 'a'\n[[classes]]\nname = 'a'", "c.toml: classes: a comes twice"),
+    ("[[classes]]\nname = 'a'\naim_ms = 9\ngive_up_ms = 8", "c.toml: classes.a.aim_ms: over give_up_ms (8)"),
+    ("[[classes]]\nname = 'a'\naim_ms = 9\ngive_up_ms = 90", "c.toml: classes.a.give_up_ms: not over twice"),
+    ("classes = []", "c.toml: classes: empty"),
+    ("[[kinds]]\nname = 'a'\nrole = 'read'", "c.toml: kinds: no kind that reads, or none that writes"),
+    ("[edge]\nnumber = 1", "c.toml: edge.number: not under edge.dispatchers (1)"),
+    ("[edge]\ndefault_class = 'x'", "c.toml: edge.default_class: no such class: x"),
+    ("[[tenants]]\nname = 'a'\nkeys = ['12345678']\n[[tenants]]\nname = 'b'\nkeys = ['12345678']",
+     "c.toml: tenants: a key comes twice"),
+    ("a = ", "c.toml: not TOML"), ("\udcff", "c.toml: byte 0: not UTF-8")])
+def test_a_fault_is_one_line_with_file_key_and_reason(text: str, says: str) -> None:
+    with pytest.raises(cfg.ConfigError) as caught:
+        cfg.parse("c.toml", text.encode("utf-8", "surrogateescape"))
+    assert str(caught.value).startswith(says) and "\n" not in str(caught.value)
+
+
+def test_settings_reach_the_policy_and_the_interlocks_in_microseconds() -> None:
+    config = cfg.parse("c", b"[rules]\nrelease_ms = 250.5\n[[classes]]\nname = 'o'\neffect = 'unsafe'\naim_ms = 100")
+    made = cfg.policy_settings(config, 0, 3, "z")
+    assert (made.release_us, made.instances, made.classes[0].effect) == (250_500, 3, i.Effect.UNSAFE)
+    assert cfg.edge_rules(config).effects == {"o": i.Effect.UNSAFE}
+    assert cfg.settings_hash(config) != cfg.settings_hash(DEFAULT)
+    assert cfg.settings_hash(cfg.parse("c", b"[log]\nlevel = 'debug'")) == cfg.settings_hash(DEFAULT)
+
+
+# --- server list
+
+def listed(*rows: str, count: int | None = None) -> bytes:
+    return "\n".join([f"count = {len(rows) if count is None else count}",
+                      *(f"[[servers]]\n{row}" for row in rows)]).encode()
+
+
+A = "name = 'a'\naddress = '127.0.0.1:1'\nkind = 'reader'"
+B = "name = 'b'\naddress = '127.0.0.1:2'\nkind = 'writer'"
+
+
+@pytest.mark.parametrize(("data", "says"), [
+    (listed(A, count=2), "s.toml: count: says 2, the list holds 1"),
+    (listed(A, A), "s.toml: servers.name: a comes twice"),
+    (listed(A, B.replace(":2", ":1")), "s.toml: servers.address: 127.0.0.1:1 comes twice"),
+    (listed(A + "\nunits = 0", B + "\nunits = 0.0"), "s.toml: servers.units: every one is zero"),
+    (listed(A.replace("reader", "gpu")), "s.toml: servers.a.kind: not configured: gpu"),
+    (listed(A.replace(":1'", ":0'")), "s.toml: servers.a.address: no such port: 0"),
+    (listed(A + "\nstate = 'ill'"), "s.toml: servers[0].state: invalid enum value 'ill'"),
+    (listed(A)[9:], "s.toml: count: missing")])
+def test_a_list_is_refused_whole(data: bytes, says: str) -> None:
+    with pytest.raises(cfg.ConfigError) as caught:
+        parse_list("s.toml", data, DEFAULT)
+    assert str(caught.value).startswith(says)
+
+
+def test_no_cut_of_a_list_is_taken_for_the_list() -> None:
+    whole = listed(A, B, A.replace("'a'", "'c'").replace(":1'", ":3'"))
+    full = parse_list("s", whole, DEFAULT)
+    for end in range(len(whole)):
+        try:
+            document = parse_list("s", whole[:end], DEFAULT)
+        except cfg.ConfigError:
+            continue
+        assert len(document.servers) == document.count == len(full.servers)
+
+
+def test_numbers_stay_with_their_names() -> None:
+    roster = Roster(DEFAULT)
+    assert roster.take(parse_list("s", listed(A, B), DEFAULT))
+    assert not roster.take(parse_list("s", listed(A, B), DEFAULT))
+    first = {server.name: server.number for server in roster.addresses()}
+    roster.take(parse_list("s", listed(B), DEFAULT))
+    roster.take(parse_list("s", listed(B, A + "\nup_since_ms = 5.0"), DEFAULT))
+    assert {server.name: server.number for server in roster.addresses()} == first
+    entries = {entry.server: entry for entry in roster.members(100).entries}
+    assert (entries[first["a"]].up_since_us, entries[first["b"]].up_since_us) == (5_100, 0)
+
+
+# --- estimate and intake
+
+@settings(max_examples=100, deadline=None)
+@given(st.floats(0.05, 2.0), st.lists(st.integers(200, 50_000), min_size=60, max_size=80))
+def test_the_estimate_comes_to_what_engines_count(per_byte: float, sizes: list[int]) -> None:
+    estimate = TokenEstimate()
+    for size in sizes:
+        estimate.learn("k", size, max(1, round(size * per_byte)))
+    if sum(sizes) > 800_000:
+        assert estimate.tokens("k", 10_000) == pytest.approx(10_000 * per_byte, rel=0.15)
+
+
+def test_kinds_differ_and_impossible_reports_are_passed_over() -> None:
+    estimate = TokenEstimate()
+    for _ in range(100):
+        estimate.learn("dense", 10_000, 8_000)
+        estimate.learn("plain", 10_000, 2_000)
+    assert estimate.tokens("dense", 1_000) > 3 * estimate.tokens("plain", 1_000)
+    before = estimate.tokens("plain", 1_000)
+    for tokens, size in ((0, 100), (-5, 100), (10**9, 100), (5, 0)):
+        estimate.learn("plain", size, tokens)
+    assert estimate.tokens("plain", 1_000) == before
+    for number in range(10_000):
+        estimate.learn(f"k{number}", 100, 25)
+    assert len(estimate._kinds) <= 4_096
+
+
+def said(**more: Any) -> Said:
+    return Said(**{"tenant": "t", "opening": (b"x" * 2_000,), "first": b"hi", "size": 2_002, **more})
+
+
+def test_what_clients_name_wins_and_is_kept_apart_by_tenant() -> None:
+    intake = Intake(DEFAULT)
+    plain = intake.take(0, 1, said()).request
+    assert (plain.cls, plain.tenant, plain.prefix is not None) == ("chat", "t", True)
+    assert intake.take(0, 2, said(first=b"other")).request.prefix == plain.prefix
+    assert intake.take(0, 2, said(first=b"other")).request.session != plain.session
+    assert intake.take(0, 3, said(tenant="u")).request.prefix == plain.prefix, "the same text is the same state"
+    mine = intake.take(0, 4, said(shared_opening="k", session="s", cls="order", max_out=7)).request
+    theirs = intake.take(0, 5, said(tenant="u", shared_opening="k", session="s")).request
+    assert (mine.cls, mine.max_out) == ("order", 7.0)
+    assert mine.prefix != theirs.prefix and mine.session != theirs.session
+    assert intake.take(0, 6, said(opening=(b"short",), size=7)).request.prefix is None
+    split = said(opening=(b"x" * 1_000, b"x" * 1_000))
+    assert intake.take(0, 7, split).request.prefix != plain.prefix
+
+
+def test_deadlines_only_ever_get_earlier() -> None:
+    intake = Intake(DEFAULT)
+    margin = 80_000
+    assert intake.take(5, 1, said()).request.expires_us == 5 + 7_500_000 - margin
+    assert intake.take(0, 2, said(timeout_ms=1_000.0)).request.expires_us == 1_000_000 - margin
+    assert intake.take(0, 3, said(client_timeout_ms=600_000.0)).request.expires_us == 7_500_000 - margin
+    assert intake.take(0, 4, said(timeout_ms=2.0)).request.expires_us == 1
+
+
+@pytest.mark.parametrize(("more", "param"), [
+    ({"cls": "nope"}, "metadata.class"), ({"timeout_ms": 0.0}, "timeout_ms"),
+    ({"timeout_ms": float("nan")}, "timeout_ms"), ({"session": "s" * 600}, "metadata.session"),
+    ({"client_timeout_ms": -1.0}, "x-stainless-read-timeout")])
+def test_bad_fields_are_named(more: dict[str, Any], param: str) -> None:
+    with pytest.raises(IntakeError) as caught:
+        Intake(DEFAULT).take(0, 1, said(**more))
+    assert caught.value.param == param
+
+
+# --- answers
+
+def chunk(delta: dict[str, Any] | None = None, finish: str | None = None, index: int = 0, **more: Any) -> bytes:
+    choices = [{"index": index, "delta": delta or {}, "finish_reason": finish}] if delta is not None or finish else []
+    base = {"id": "c1", "object": "chat.completion.chunk", "model": "m", "choices": choices}
+    return json.dumps({**base, **more}).encode()
+
+
+USAGE = {"prompt_tokens": 9, "completion_tokens": 2, "prompt_tokens_details": {"cached_tokens": 4}}
+
+
+def test_an_answer_is_whole_with_a_finish_and_done_alone() -> None:
+    state = AnswerState(usage_wanted=False)
+    assert state.forward(chunk({"content": "a"})) and state.forward(chunk({}, "stop"))
+    assert not state.forward(chunk(usage=USAGE)), "the client did not ask for it"
+    assert not state.whole and not state.forward(b"[DONE]") and state.whole
+    assert state.counts is not None and (state.counts.prompt, state.counts.completion, state.counts.cached) == (9, 2, 4)
+    assert not state.forward(chunk({"content": "after"}))
+    wanted = AnswerState(usage_wanted=True)
+    assert wanted.forward(chunk(usage=USAGE))
+    cut = AnswerState(False)
+    cut.forward(chunk({"content": "a"}))
+    cut.forward(b"[DONE]")
+    assert cut.done and not cut.whole, "no finish reason came"
+    error = AnswerState(False)
+    error.forward(chunk({}, "stop"))
+    assert not error.forward(b'{"error": {"message": "x"}}') and error.error and not error.whole
+
+
+def test_text_that_talks_of_usage_passes_unchanged() -> None:
+    state = AnswerState(False)
+    assert state.forward(chunk({"content": '"usage": {"prompt_tokens": 5}'}))
+    assert state.counts is None
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 2), st.text(max_size=8)), min_size=1, max_size=20))
+def test_collected_text_is_the_streamed_text(drawn: list[tuple[int, str]]) -> None:
+    whole = Collected()
+    for index, text in drawn:
+        whole.add(chunk({"role": "assistant", "content": text}, index=index))
+    for index in {index for index, _ in drawn}:
+        whole.add(chunk({}, "stop", index))
+    body = json.loads(whole.body())
+    assert body["object"] == "chat.completion"
+    for choice in body["choices"]:
+        text = "".join(t for n, t in drawn if n == choice["index"])
+        assert choice["message"] == {"role": "assistant", "content": text} and choice["finish_reason"] == "stop"
+
+
+def test_tool_calls_and_unknown_fields_are_put_together() -> None:
+    whole = Collected()
+    for part in ({"index": 0, "id": "t1", "type": "function", "function": {"name": "f", "arguments": ""}},
+                 {"index": 0, "function": {"arguments": '{"a"'}}, {"index": 0, "function": {"arguments": ":1}"}},
+                 {"index": 1, "id": "t2", "type": "function", "function": {"name": "g", "arguments": "{}"}}):
+        whole.add(chunk({"tool_calls": [part]}))
+    whole.add(chunk({"reasoning_content": "be"}, novel={"x": 1}))
+    whole.add(chunk({"reasoning_content": "cause"}, "tool_calls", usage=USAGE))
+    body = json.loads(whole.body())
+    message = body["choices"][0]["message"]
+    assert [call["function"] for call in message["tool_calls"]] == [
+        {"name": "f", "arguments": '{"a":1}'}, {"name": "g", "arguments": "{}"}]
+    assert message["reasoning_content"] == "because" and message["content"] is None
+    assert body["novel"] == {"x": 1} and body["usage"] == USAGE
+
+
+def test_finals_have_their_status_and_say_whether_to_retry() -> None:
+    refused = http_of(Answer(1, Final.REFUSED, "overloaded", 1_500_000), unsafe=True)
+    assert refused.status == 503
+    assert dict(refused.headers) == {b"retry-after": b"2", b"retry-after-ms": b"1500", b"x-should-retry": b"true"}
+    failed = http_of(Answer(1, Final.FAILED, "may_have_run"), unsafe=True)
+    assert failed.status == 502 and dict(failed.headers) == {b"x-should-retry": b"false"}
+    assert http_of(Answer(1, Final.FAILED, "deadline"), unsafe=False).headers == ()
+
+
+@pytest.mark.parametrize(("status", "code", "expected"), [
+    (503, "engine_full", (i.Status.FULL, 0)), (429, "engine_draining", (i.Status.FULL, 0)),
+    (503, None, (i.Status.ERROR, 0)), (500, "engine_full", (i.Status.ERROR, 0)),
+    (409, "no_state", (i.Status.FULL, 1)), (400, "bad", (i.Status.ERROR, 0))])
+def test_only_known_words_of_an_engine_prove_that_nothing_ran(status: int, code: str | None, expected: object) -> None:
+    assert status_of_refusal(status, code) == expected
+
+
+# --- releases
+
+def server(number: int = 1, places: bool = True) -> Server:
+    return Server(number, f"s{number}", "h", number, i.Role.WRITE, i.State.SERVING, places)
+
+
+def test_releases_are_said_until_heard_a_few_at_a_time() -> None:
+    releases = Releases()
+    for part in range(10):
+        releases.owe(0, server(), Thing.STATE, part, 0)
+    releases.owe(0, server(2, places=False), Thing.STATE, 1, 0)
+    first = releases.take_due(0)
+    assert len(first) == AT_ONCE_MOST and not releases.take_due(0)
+    for owed in first:
+        releases.settled(10, owed, heard=False)
+    due = {owed.request for owed in releases.take_due(20)}
+    assert due == {4, 5, 6, 7}, "those not yet said come before those said in vain"
+    assert releases.owed == 10
+
+
+def test_what_lapsed_is_no_longer_said_and_the_whole_is_bounded() -> None:
+    releases = Releases()
+    releases.owe(0, server(), Thing.PLACE, 1, 1)
+    assert not releases.take_due(LAPSE_US) and (releases.lapsed, releases.owed) == (1, 0)
+    for number in range(OWED_MOST + 50):
+        releases.owe(0, server(number % 3), Thing.PLACE, number, 1)
+    assert releases.owed == OWED_MOST and releases.dropped == 50
+
+
+@settings(max_examples=100, deadline=None)
+@given(st.lists(st.tuples(st.integers(1, 3), st.booleans(), st.integers(0, 400_000)), max_size=60))
+def test_every_release_is_in_the_end_heard_or_lapsed(drawn: list[tuple[int, bool, int]]) -> None:
+    releases, now, heard_of = Releases(), 0, set()
+    for part, (at, heard, wait) in enumerate(drawn):
+        releases.owe(now, server(at), Thing.STATE, part, 0)
+        now += wait
+        for owed in releases.take_due(now):
+            releases.settled(now, owed, heard)
+            if heard:
+                heard_of.add(owed.request)
+    while (due := releases.next_due_us()) is not None:
+        now = max(now, due)
+        for owed in releases.take_due(now):
+            releases.settled(now, owed, True)
+            heard_of.add(owed.request)
+    assert releases.owed == 0
+    assert len(heard_of) + releases.lapsed == len(drawn)
+
+
+# --- planning
+
+def test_timers_fire_on_the_edges_clock_and_a_fault_fails_one_request() -> None:
+    calls: list[tuple[i.Event, int]] = []
+
+    def policy(event: i.Event, now: int) -> list[i.Action]:
+        calls.append((event, now))
+        if isinstance(event, i.Request):
+            if event.cls == "bad":
+                raise ZeroDivisionError("x")
+            return [i.SetTimer(now + 500, 9), i.Send(event.request, 1)]
+        return []
+
+    session = PlanningSession(policy, edge_now_us=1_000_000, now_us=400)
+    reply = session.heard(1_000_100, [i.Request(1, "a", 5, 1.0), i.Request(2, "bad", 5, 1.0)])
+    assert reply.actions == [i.Send(1, 1), i.Fail(2)] and len(reply.faults) == 1
+    assert session.next_due_us() == 1_000 and not session.tick(999).actions and len(calls) == 2
+    session.tick(1_000)
+    assert calls[-1] == (i.Timer(9), 1_000_600)
+    session.heard(1_000_000, [i.Hangup(1)])
+    assert calls[-1][1] == 1_000_600, "time never goes back"
+
+
+# --- link
+
+some_events = st.one_of(
+    st.builds(i.Request, st.integers(0, 2**32), st.text(max_size=5), st.integers(0, 2**60),
+              st.floats(0, 1e9), tenant=st.none() | st.text(max_size=3), prefix=st.none() | st.text(max_size=3)),
+    st.builds(i.First, *[st.integers(0, 2**40)] * 4), st.builds(i.Hangup, st.integers(0, 99)),
+    st.builds(i.Note, *[st.integers(0, 99)] * 3, held=st.booleans()),
+    st.builds(i.Outcome, *[st.integers(0, 99)] * 3, status=st.sampled_from([*i.Status]),
+              latency_us=st.integers(0, 9), closed=st.booleans(), note=st.integers(0, 9)))
+some_actions = st.one_of(
+    st.builds(i.Send, *[st.integers(0, 99)] * 3), st.builds(i.Ahead, *[st.integers(0, 99)] * 2),
+    st.builds(i.Refuse, *[st.integers(0, 99)] * 2), st.builds(i.Discard, st.integers(0, 99)),
+    st.builds(i.Fail, st.integers(0, 99)), st.builds(i.Cancel, *[st.integers(0, 99)] * 2))
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.lists(some_events, max_size=6), st.lists(some_actions, max_size=6), st.lists(st.integers(0, 900), max_size=5))
+def test_frames_arrive_as_sent_however_cut(events: list[i.Event], actions: list[i.Action], cuts: list[int]) -> None:
+    sent: list[frames.Frame] = [
+        frames.Hello(1, 0, 1, "z", 5, "h"), frames.Servers(3, [server()]),
+        frames.Events(1, 9, [frames.mirror(event) for event in events]),
+        frames.Actions(1, [frames.mirror(action) for action in actions])]
+    data = b"".join(frames.encode(frame) for frame in sent)
+    points = sorted({point % (len(data) + 1) for point in cuts})
+    reader = frames.FrameReader()
+    got = [frame for a, b in zip([0, *points], [*points, len(data)], strict=True) for frame in reader.feed(data[a:b])]
+    assert isinstance(got[1], frames.Servers) and got[1].servers == [server()]
+    assert isinstance(got[2], frames.Events) and [frames.original(event) for event in got[2].events] == events
+    assert isinstance(got[3], frames.Actions) and [frames.original(action) for action in got[3].actions] == actions
+
+
+@pytest.mark.parametrize("data", [
+    b"\xff\xff\xff\xff", b"\0\0\0\1\xc1", b"\0\0\0\2\x91\xa0",
+    frames.encode(frames.Bye("x")).replace(b"Bye", b"Hi!"), (2).to_bytes(4) + b"\x92\x01"])
+def test_what_is_no_frame_ends_the_link(data: bytes) -> None:
+    with pytest.raises(frames.LinkError):
+        frames.FrameReader().feed(data)
--- a/yardspindle/api/serving.py
+++ b/yardspindle/api/serving.py
@@ -207,7 +207,7 @@
             self._linger(stream)
             return False
         if reply is not None:
-            body_waits = parser.mid_message
+            body_waits = not parser.skip_empty_body()
             reply.close = reply.close or body_waits  # what follows would be read as a request
             exchange.reply(reply)
             if body_waits:
