--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -299,7 +299,7 @@
         for number in range(12):
             client(fleet).chat.completions.create(
                 model=MODEL, messages=[{"role": "user", "content": f"{number}"}], max_tokens=1)
-        assert {event["box"] for event in fleet.events("arrive") if event["stage"] == "read"} == {"r1"}
+        assert {event["box"] for event in fleet.events("end") if event["stage"] == "read"} == {"r1"}
         assert fleet.planner.roster.version == 2
         settled(fleet)
 
--- a/yardspindle/cli/main.py
+++ b/yardspindle/cli/main.py
@@ -7,6 +7,7 @@
 from yardspindle.cli.config import config_group
 from yardspindle.cli.edge import edge_command
 from yardspindle.cli.engine import engine_command
+from yardspindle.cli.lab import lab_group
 from yardspindle.cli.plan import plan_command
 from yardspindle.cli.up import up_command
 
@@ -17,5 +18,5 @@
     """A router for language models that read prompts and write answers on separate engines."""
 
 
-for command in (up_command, edge_command, plan_command, engine_command, config_group):
+for command in (up_command, edge_command, plan_command, engine_command, config_group, lab_group):
     main.add_command(command)
--- a/yardspindle/core/edge_core.py
+++ b/yardspindle/core/edge_core.py
@@ -47,10 +47,10 @@
         """The planner's list of servers."""
         return self._out(now_us, self.life.servers(now_us, listed))
 
-    def arrive(self, now_us: int, ask: i.Request) -> list[c.Command]:
-        """A client's request."""
-        self.watch.arrived(now_us, ask)
-        return self._out(now_us, self.life.arrive(now_us, ask))
+    def arrive(self, now_us: int, ask: i.Request, whole: bool = False) -> list[c.Command]:
+        """A client's request; `whole`: it sees nothing of its answer before the last token."""
+        self.watch.arrived(now_us, ask, whole)
+        return self._out(now_us, self.life.arrive(now_us, ask, whole))
 
     def client_left(self, now_us: int, request: int) -> list[c.Command]:
         """The client hung up."""
--- a/yardspindle/core/intake.py
+++ b/yardspindle/core/intake.py
@@ -9,7 +9,8 @@
   the opening: a later turn of the conversation begins with the same;
 - *class*: `metadata.class` or `X-Request-Class`, else the configured default, else the first safe class;
 - *deadline*: `X-Request-Timeout-Ms`, `metadata.timeout_ms`, or the read time-out that OpenAI's clients state,
-  each only ever earlier than the class's own.
+  each only ever earlier than the class's own. It bounds the first token of a streamed answer and the last of a
+  whole one, which gets the time of its longest length on top.
 
 Names that clients give are kept apart by tenant; hashes of texts are not, as the same text is the same state.
 """
@@ -28,6 +29,7 @@
 OPENING_TOKENS_LEAST = 64.0  # a shorter opening saves less than one step of a reader
 NAME_CHARS_MOST = 512
 TIMEOUT_MS_LEAST = 1.0
+WHOLE_TOKEN_MS = 60.0  # for each token of a whole answer, where the class states no pace
 
 
 class IntakeError(Exception):
@@ -54,6 +56,7 @@
     first: bytes = b""  # the first message after the opening
     size: int = 0  # of all messages and tools
     max_out: int | None = None
+    whole: bool = False  # the answer is to come in one piece
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,13 +90,16 @@
         opening_size = sum(len(part) for part in said.opening)
         opening_tokens = min(self.estimate.tokens(kind, opening_size), tokens) if opening_size else 0.0
         prefix = self._opening(said, opening_tokens)
-        give_up_us = microseconds(cls.give_up_ms)
+        limit_ms = cls.give_up_ms
+        if said.whole:  # the class's time is to the first token; a whole answer is seen after the last
+            limit_ms += (said.max_out or self._max_out) * (cls.token_aim_ms or WHOLE_TOKEN_MS)
+        give_up_us = microseconds(limit_ms)
         for param, value in (("timeout_ms", said.timeout_ms), ("x-stainless-read-timeout", said.client_timeout_ms)):
             if value is None:
                 continue
             if not math.isfinite(value) or value < TIMEOUT_MS_LEAST:
                 raise IntakeError(param, f"not a time of at least {TIMEOUT_MS_LEAST:g} ms")
-            give_up_us = min(give_up_us, microseconds(min(value, cls.give_up_ms)))
+            give_up_us = min(give_up_us, microseconds(min(value, limit_ms)))
         return Taken(i.Request(
             request=number, cls=cls.name, expires_us=now_us + max(give_up_us - self._margin_us, 1),
             prompt_tokens=tokens, prefix_tokens=opening_tokens if prefix is not None else 0.0,
--- a/yardspindle/core/lifecycle.py
+++ b/yardspindle/core/lifecycle.py
@@ -65,6 +65,7 @@
     ask: i.Request
     effect: i.Effect
     epoch: int  # of the planner that knows it; 0 when none does any more
+    whole: bool = False  # the client sees nothing before the last token: its time runs on after the first
     attempts: int = 0
     out: Attempt | None = None
     streaming: bool = False
@@ -135,9 +136,9 @@
 
     # --- clients
 
-    def arrive(self, now_us: int, ask: i.Request) -> list[c.Command]:
+    def arrive(self, now_us: int, ask: i.Request, whole: bool = False) -> list[c.Command]:
         """A client's request: taken, and told to the planner, or refused at once. Raises KeyError: its class."""
-        r = Open(ask, self.rules.effects[ask.cls], self.epoch, idle_since_us=now_us)
+        r = Open(ask, self.rules.effects[ask.cls], self.epoch, whole, idle_since_us=now_us)
         assert ask.request not in self.open, "a request's number comes twice"
         self.tally.taken += 1
         full = len(self.open) >= self.rules.most_open
@@ -329,7 +330,10 @@
     def tick(self, now_us: int) -> list[c.Command]:
         """Keep the rules that time breaks; called every few milliseconds' tens while requests are open."""
         for r in list(self.open.values()):
-            if r.final is None and not r.streaming and now_us >= r.ask.expires_us + self.rules.answer_slack_us:
+            if r.final is None and r.whole and r.streaming and now_us >= r.ask.expires_us:
+                self._final(r, c.Final.FAILED, "deadline")
+                self._settle(now_us, r)
+            elif r.final is None and not r.streaming and now_us >= r.ask.expires_us + self.rules.answer_slack_us:
                 self._interlock(r, "answer overdue")
                 self._answer(now_us, r, c.Final.FAILED, "deadline")
             elif (r.out is None and (r.state_at is not None or r.place is not None)
--- a/yardspindle/core/rules.py
+++ b/yardspindle/core/rules.py
@@ -25,6 +25,7 @@
 
     expires_us: int
     effect: i.Effect
+    whole: bool = False
     out: dict[int, tuple[bool, str]] = field(default_factory=dict)  # attempt: is a write, server
     ran: bool = False
     streaming: bool = False
@@ -34,6 +35,11 @@
     places: dict[int, str] = field(default_factory=dict)
     idle_since_us: int = 0
 
+    @property
+    def under_way(self) -> bool:
+        """The client sees its answer come: no deadline runs."""
+        return self.streaming and not self.whole
+
     @property
     def over(self) -> bool:
         """Nothing more is owed to the client."""
@@ -61,9 +67,9 @@
 
     # --- what comes in
 
-    def arrived(self, now_us: int, ask: i.Request) -> None:
-        """A request was taken."""
-        self.open[ask.request] = Watched(ask.expires_us, self._rules.effects[ask.cls], idle_since_us=now_us)
+    def arrived(self, now_us: int, ask: i.Request, whole: bool) -> None:
+        """A request was taken; `whole`: its client sees nothing before the last token."""
+        self.open[ask.request] = Watched(ask.expires_us, self._rules.effects[ask.cls], whole, idle_since_us=now_us)
 
     def left(self, now_us: int, request: int) -> None:
         """Its client is gone."""
@@ -154,7 +160,7 @@
         if answer.final is c.Final.REFUSED and not harmless:
             self._broken("no effect twice", answer.request, "a refusal though it may have run")
         late_us = now_us - known.expires_us - self._rules.answer_slack_us - LATE_TICK_US
-        if late_us > 0 and not known.streaming:
+        if late_us > 0 and not known.under_way:
             self._broken("one final answer", answer.request, f"{late_us} us late")
         known.answered = True
         self._forget(answer.request, known)
@@ -163,7 +169,7 @@
     def check_time(self, now_us: int) -> None:
         """What only time breaks: an answer overdue, a state or place held with nothing out."""
         for request, known in list(self.open.items()):
-            if not known.streaming and now_us > known.expires_us + self._rules.answer_slack_us + LATE_TICK_US:
+            if not known.under_way and now_us > known.expires_us + self._rules.answer_slack_us + LATE_TICK_US:
                 self._broken("one final answer", request, "none in time")
                 known.left = True
                 self._forget(request, known)
--- a/yardspindle/edge/app.py
+++ b/yardspindle/edge/app.py
@@ -165,7 +165,7 @@
         self.executor.running[number] = run
         try:
             exchange.on_gone = lambda: self._gone(run)
-            self.executor.perform(self.core.arrive(run.came_us, run.taken.request))
+            self.executor.perform(self.core.arrive(run.came_us, run.taken.request, not run.stream))
             run.done.wait()
             self._finish(run)
         finally:
--- /dev/null
+++ b/yardspindle/lab/day.py
@@ -0,0 +1,248 @@
+"""A scripted bad day: a fleet of real processes, clients, troubles at their times, then the audit.
+
+The file says what is there and what goes wrong; everything drawn comes from its seed. The day ends by itself:
+clients stop, what is open ends, all processes are ended by their ids, and the audit reads the two journals.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+from collections.abc import Callable
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+from yardspindle.core.config import ConfigError, decode_toml
+from yardspindle.engine.http_client import ConnectError, ExchangeBroken, HttpClient
+from yardspindle.lab.audit import Figures, Report, audit
+from yardspindle.lab.clients import ClientClass, Clients, Habits, draw
+from yardspindle.lab.engine import CONTROL, EngineSettings
+from yardspindle.lab.fleet import Box, Dispatcher, Fleet
+from yardspindle.runtime.real import RealWorld
+from yardspindle.runtime.scheduler import DeadlineExceeded
+
+SETTLE_US = 6_500_000  # after the last request: longer than any deadline and hold
+
+Positive = Annotated[float, Meta(gt=0)]
+
+
+class DayClass(Struct, forbid_unknown_fields=True, frozen=True):
+    """A class, for the router and for its clients."""
+
+    name: str
+    effect: Literal["safe", "unsafe"]
+    share: Positive
+    aim_ms: Positive = 1_500.0
+    give_up_ms: Positive = 4_000.0
+    answer_tokens: Annotated[int, Meta(ge=1)] = 40
+    worth: Positive = 1.0
+
+
+class Trouble(Struct, forbid_unknown_fields=True, frozen=True):
+    """What goes wrong, when, and where: a box by name, or one drawn of a role or a rack (cell)."""
+
+    at_s: Annotated[float, Meta(ge=0)]
+    do: Literal["kill", "restart", "hang", "wake", "slow", "normal", "forget", "reset_streams", "full", "drain",
+                "remove", "restart_rack", "kill_planner", "stall_planner", "wake_planner"]
+    box: str = ""
+    role: Literal["reader", "writer", ""] = ""
+    rack: int = 0
+    dispatcher: int = 0
+    factor: float = 1.0
+    down_s: float = 1.0
+
+
+class Day(Struct, forbid_unknown_fields=True, frozen=True):
+    """The file."""
+
+    seed: int
+    seconds: Annotated[float, Meta(gt=0, le=3_600)]
+    rate_per_s: Annotated[float, Meta(gt=0, le=2_000)]
+    classes: tuple[DayClass, ...]
+    dispatchers: Annotated[int, Meta(ge=1, le=32)] = 3
+    racks: Annotated[int, Meta(ge=1, le=64)] = 2
+    readers: Annotated[int, Meta(ge=1, le=64)] = 3
+    writers: Annotated[int, Meta(ge=1, le=64)] = 3
+    cold_ms: Annotated[float, Meta(ge=0)] = 3_000.0
+    box: dict[str, Any] = {}
+    rules: dict[str, Any] = {}
+    habits: Habits = msgspec.field(default_factory=Habits)
+    troubles: tuple[Trouble, ...] = ()
+
+
+def load_day(path: str) -> Day:
+    """Read a day's file. Raises ConfigError and OSError."""
+    with open(path, "rb") as file:
+        day = decode_toml(path, file.read(), Day)
+    if not day.classes:
+        raise ConfigError(f"{path}: classes: empty")
+    names = set(_box_names(day))
+    for at, trouble in enumerate(day.troubles):
+        if trouble.box and trouble.box not in names:
+            raise ConfigError(f"{path}: troubles[{at}].box: no such box: {trouble.box}")
+        if trouble.rack >= day.racks:
+            raise ConfigError(f"{path}: troubles[{at}].rack: there are {day.racks}")
+        if trouble.dispatcher >= day.dispatchers:
+            raise ConfigError(f"{path}: troubles[{at}].dispatcher: there are {day.dispatchers}")
+    return day
+
+
+def _box_names(day: Day) -> list[str]:
+    return [f"{kind}{rack}-{n}" for rack in range(day.racks)
+            for kind, count in (("reader", day.readers), ("writer", day.writers)) for n in range(count)]
+
+
+class DayRun:
+    """One playing of a day."""
+
+    def __init__(self, world: RealWorld, day: Day, say: Callable[[str], None], keep: str | None = None) -> None:
+        """`say` gets lines for people; `keep` is a folder for the journals."""
+        self.world = world
+        self.day = day
+        self.say = say
+        self.rng = world.random("day")
+        rules = {"cold_ms": day.cold_ms, "start_capacity": 0.3, **day.rules}
+        self.fleet = Fleet(world, {
+            "classes": [{"name": c.name, "effect": c.effect, "aim_ms": c.aim_ms, "give_up_ms": c.give_up_ms,
+                         "worth": c.worth} for c in day.classes],
+            "rules": rules, "edge": {"stalled_client_ms": 2_000.0}, "log": {"level": "info"}}, [],
+            [Dispatcher(number) for number in range(day.dispatchers)])
+        folder = keep or self.fleet.folder.name
+        self.box_journal = os.path.join(folder, "boxes.jsonl")
+        self.client_journal = os.path.join(folder, "clients.jsonl")
+        for path in (self.box_journal, self.client_journal):
+            open(path, "wb").close()
+        for name in _box_names(day):
+            kind, rack = name[:6], int(name[6:].split("-")[0])
+            settings = msgspec.convert({
+                "name": name, "role": "read" if kind == "reader" else "write", "journal": self.box_journal,
+                "cold_ms": day.cold_ms, "start_capacity": rules["start_capacity"],
+                "fall_multiple": rules.get("fall_multiple", 2.5), "fall_ms": rules.get("fall_ms", 2_000.0),
+                **day.box}, EngineSettings)
+            settings = msgspec.structs.replace(settings, cold_ms=0.0)  # all are warm when the day begins
+            self.fleet.boxes.append(Box(settings, rack, kind))
+        self.http = HttpClient(world, 1_000_000, 1_000_000)
+
+    def run(self) -> Report:
+        """Play the day and audit it."""
+        day, world = self.day, self.world
+        try:
+            self.say(f"starting {len(self.fleet.boxes)} boxes and {day.dispatchers} dispatchers")
+            self.fleet.start()
+            self.fleet.boxes = [self._cold_from_now(box) for box in self.fleet.boxes]
+            started = world.now_us()
+            troubles = [world.spawn("trouble", self._trouble, trouble, started) for trouble in day.troubles]
+            requests = self._load(started)
+            for task in (*requests, *troubles):
+                task.join()
+            world.sleep_until(world.now_us() + SETTLE_US)
+        finally:
+            codes = self.fleet.stop()
+        report = self.audited()
+        for name, code in codes.items():
+            if name.startswith(("edge", "planner")) and code not in (0, -signal.SIGKILL):
+                report.broke("programs end in order", f"{name} ended with {code}")
+        return report
+
+    def _cold_from_now(self, box: Box) -> Box:
+        box.settings = msgspec.structs.replace(box.settings, cold_ms=self.day.cold_ms)
+        return box
+
+    def audited(self) -> Report:
+        """Audit the journals as they are."""
+        rules = self.day.rules
+        figures = Figures(release_ms=rules.get("release_ms", 300.0),
+                          drain_grace_ms=rules.get("drain_grace_ms", 500.0),
+                          unsafe=tuple(c.name for c in self.day.classes if c.effect == "unsafe"))
+        return audit(read_lines(self.client_journal), read_lines(self.box_journal), figures)
+
+    def _load(self, started: int) -> list[Any]:
+        day, world = self.day, self.world
+        classes = tuple(ClientClass(c.name, c.share, c.give_up_ms, c.answer_tokens) for c in day.classes)
+        clients = Clients(world, "yardspindle-demo", lambda line: world.append_file(
+            self.client_journal, msgspec.json.encode(line) + b"\n"), day.habits)
+        edges = [("127.0.0.1", dispatcher.port) for dispatcher in self.fleet.dispatchers]
+        tasks: list[Any] = []
+        at, number = 0.0, 0
+        while (at := at + self.rng.expovariate(day.rate_per_s)) < day.seconds:
+            plan = draw(self.rng, number, classes, day.habits)
+            number += 1
+            world.sleep_until(started + int(at * 1e6))
+            tasks.append(world.spawn("client", clients.request, plan, edges))
+        self.say(f"{number} requests sent")
+        return tasks
+
+    # --- troubles
+
+    def _trouble(self, trouble: Trouble, started: int) -> None:
+        self.world.sleep_until(started + int(trouble.at_s * 1e6))
+        dispatcher = self.fleet.dispatchers[trouble.dispatcher]
+        if trouble.do.endswith("planner"):
+            self.say(f"{trouble.at_s:6.1f} s  {trouble.do} {dispatcher.number}")
+            return self._planner(trouble, dispatcher)
+        if trouble.do == "restart_rack":
+            boxes = [box for box in self.fleet.boxes if box.cell == trouble.rack and box.listed]
+        else:
+            able = [box for box in self.fleet.boxes if box.child is not None and box.child.running()
+                    and box.state == "serving" and box.kind.startswith(trouble.role)]
+            named = [box for box in self.fleet.boxes if box.settings.name == trouble.box]
+            boxes = named or self.rng.sample(able, 1)
+        self.say(f"{trouble.at_s:6.1f} s  {trouble.do} {', '.join(box.settings.name for box in boxes)}")
+        for box in boxes:
+            self._box(trouble, box)
+        if trouble.do in ("restart", "restart_rack"):
+            self.world.sleep_until(self.world.now_us() + int(trouble.down_s * 1e6))
+            for box in boxes:
+                self.fleet.launch_box(box)
+            for box in boxes:
+                self.fleet.ready_box(box)
+            self.fleet.write_list()
+
+    def _box(self, trouble: Trouble, box: Box) -> None:
+        match trouble.do:
+            case "kill" | "restart" | "restart_rack":
+                self._kill(box)
+            case "drain" | "remove":
+                box.state, box.listed = "draining", trouble.do == "drain"
+                self.fleet.write_list()
+                self.control(box, "listed_draining")
+            case _:
+                self.control(box, trouble.do, trouble.factor)
+
+    def _kill(self, box: Box) -> None:
+        assert box.child is not None
+        box.child.send(signal.SIGKILL)
+        box.child.wait(self.world.now_us() + 5_000_000)
+        line = {"t": self.world.now_us(), "box": box.settings.name, "ev": "killed", "id": ""}
+        self.world.append_file(self.box_journal, msgspec.json.encode(line) + b"\n")
+
+    def _planner(self, trouble: Trouble, dispatcher: Dispatcher) -> None:
+        assert dispatcher.planner is not None
+        if trouble.do == "stall_planner":
+            return dispatcher.planner.send(signal.SIGSTOP)
+        if trouble.do == "wake_planner":
+            return dispatcher.planner.send(signal.SIGCONT)
+        dispatcher.planner.send(signal.SIGKILL)
+        dispatcher.planner.wait(self.world.now_us() + 5_000_000)
+        self.world.sleep_until(self.world.now_us() + int(trouble.down_s * 1e6))
+        self.fleet.launch_planner(dispatcher)
+        self.fleet.ready_planner(dispatcher)
+
+    def control(self, box: Box, do: str, factor: float = 1.0) -> None:
+        """Tell a box to misbehave."""
+        try:
+            with self.world.deadline(self.world.now_us() + 2_000_000):
+                response = self.http.request("127.0.0.1", box.port, b"POST", CONTROL, [],
+                                             msgspec.json.encode({"do": do, "factor": factor}))
+                response.read_all()
+                response.close()
+        except (ConnectError, ExchangeBroken, DeadlineExceeded) as error:
+            self.say(f"{box.settings.name} did not hear {do}: {error}")
+
+
+def read_lines(path: str) -> list[dict[str, Any]]:
+    """A journal's lines."""
+    with open(path, "rb") as file:
+        return [msgspec.json.decode(line) for line in file if line.strip()]
--- a/yardspindle/lab/engine.py
+++ b/yardspindle/lab/engine.py
@@ -55,7 +55,8 @@
 class Control(Struct, forbid_unknown_fields=True):
     """A command to misbehave."""
 
-    do: Literal["hang", "wake", "slow", "forget", "reset_streams", "drain", "full", "normal"]
+    do: Literal["hang", "wake", "slow", "forget", "reset_streams", "drain", "full", "normal", "listed_draining",
+                "listed_serving"]
     factor: float = 1.0
 
 
@@ -142,6 +143,8 @@
     def early(self, head: http1.RequestHead) -> Reply | None:
         """See Handler."""
         target = head.target
+        if head.method == b"DELETE" and self.hung is not None:
+            self.hung.wait()
         if head.method == b"DELETE" and self.set.places:
             for root, held in ((STATES, self.states), (PLACES, self.places)):
                 if target.startswith(root + b"/"):
@@ -162,12 +165,15 @@
         target = exchange.head.target
         if target == CONTROL:
             return self._control(exchange)
+        if target == COMPLETIONS:
+            return self._completion(exchange)
         if self.hung is not None:
             self.hung.wait()
-        if target.startswith(FETCH):
-            return self._fetched(exchange, target[len(FETCH):].decode())
         if target == PLACES:
             return self._place(exchange)
+        return self._fetched(exchange, target[len(FETCH):].decode())
+
+    def _completion(self, exchange: Exchange) -> None:
         request = (exchange.head.get(b"x-request-id") or b"").decode()
         call = msgspec.json.decode(exchange.body, type=_Call)
         params = call.kv_transfer_params or {}
@@ -175,7 +181,14 @@
         lab_id = (call.metadata or {}).get("lab_id", "")
         self.note("arrive", request, stage=stage, lab=lab_id)
         gone = self.world.signal()
-        exchange.on_gone = gone.set
+
+        def left() -> None:
+            self.note("gone", request)  # seen on the socket, also while it hangs
+            gone.set()
+
+        exchange.on_gone = left
+        if self.hung is not None:
+            self.hung.wait()
         ended = "failed"
         try:
             ended = (self._read if stage == "read" else self._write)(exchange, request, call, params, lab_id, gone)
@@ -256,7 +269,13 @@
             turn = self.world.signal()
             self.load.waiting.append(turn)
             previous = exchange.on_gone
-            exchange.on_gone = turn.set
+
+            def left() -> None:
+                turn.set()
+                if previous is not None:
+                    previous()
+
+            exchange.on_gone = left
             turn.wait()
             exchange.on_gone = previous
             if turn in self.load.waiting:
--- a/yardspindle/lab/fleet.py
+++ b/yardspindle/lab/fleet.py
@@ -131,10 +131,10 @@
         try:
             for child in children:
                 if child is not None and child.running():
-                    child.send(signal.SIGTERM)
+                    child.ask_to_end()
             for child in (*children, *(box.child for box in self.boxes)):
                 if child is not None:
-                    codes[child.name] = child.stop(STOP_US)
+                    codes[child.name] = child.stop(STOP_US)  # those told above are only waited for
         finally:
             for child in (*children, *(box.child for box in self.boxes)):
                 if child is not None and child.running():
--- a/yardspindle/runtime/process.py
+++ b/yardspindle/runtime/process.py
@@ -30,6 +30,7 @@
         os.set_blocking(self._out, False)
         self._buffer = b""
         self.log_path = log_path
+        self._told = False
 
     @property
     def pid(self) -> int:
@@ -81,10 +82,16 @@
             self._process.stdout.close()
         return code
 
+    def ask_to_end(self) -> None:
+        """Send SIGTERM once: a second one would cut its drain short."""
+        if not self._told:
+            self._told = True
+            self.send(signal.SIGCONT)
+            self.send(signal.SIGTERM)
+
     def stop(self, grace_us: int) -> int:
         """Ask it to end, then end it."""
-        self.send(signal.SIGCONT)
-        self.send(signal.SIGTERM)
+        self.ask_to_end()
         code = self.wait(self._world.now_us() + grace_us)
         if code is None:
             self.send(signal.SIGKILL)
