--- /dev/null
+++ b/benchmarks/path.py
@@ -0,0 +1,253 @@
+"""What the dispatcher costs: CPU of a streamed event and of a request, system calls, time to first token.
+
+Run: python benchmarks/path.py [--seconds N]. Everything is on loopback, bounded, and compared within the run:
+
+- a streamed event: CPU of the edge's process over that of a bare loop which copies bytes between two sockets on the
+  same scheduler, both fed the same streams by the same stand-in engine;
+- a request: CPU of edge and planner for answers of one token, over the same bare loop;
+- time to first token: through the dispatcher over the same two calls made straight at the same engines, in turn;
+- system calls of the edge for each request and for each event, counted at its sockets and its poll.
+
+CPU is what the kernel counts for each process (`/proc/PID/schedstat`).
+"""
+
+from __future__ import annotations
+
+import statistics
+import sys
+import threading
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from tests.fleet_thread import FleetThread
+from yardspindle.cli.common import set_up_logs
+from yardspindle.core.config import LogConfig
+from yardspindle.engine.http_client import HttpClient
+from yardspindle.engine.vllm import READ_PARAMS
+from yardspindle.lab.engine import EngineSettings
+from yardspindle.lab.fleet import Box, Dispatcher, Fleet
+from yardspindle.protocol import http1
+from yardspindle.protocol.sse import SseParser
+from yardspindle.runtime import real
+from yardspindle.runtime.process import Child
+from yardspindle.runtime.real import RealWorld
+from yardspindle.runtime.world import Stream, StreamError
+
+STREAMS = 40
+EVENTS = 400
+STEP_MS = 10.0
+SHORT = 400
+HEADERS: http1.Headers = [(b"content-type", b"application/json")]
+
+
+def cpu_ns(pid: int) -> int:
+    return sum(int(path.read_text().split()[0]) for path in Path(f"/proc/{pid}/task").glob("*/schedstat"))
+
+
+def body(tokens: int, number: int, **more: Any) -> bytes:
+    return msgspec.json.encode({
+        "model": "yardspindle-demo", "stream": True, "max_tokens": tokens,
+        "messages": [{"role": "user", "content": f"{number} " + "word " * 100}], **more})
+
+
+def stream(http: HttpClient, address: tuple[str, int], data: bytes) -> tuple[int, int]:
+    """Events of an answer, and when the first came."""
+    response = http.request(*address, b"POST", b"/v1/chat/completions", HEADERS, data)
+    parser, events, first = SseParser(), 0, 0
+    while (piece := response.read()) is not None:
+        first = first or http.world.now_us()
+        events += len(parser.feed(piece))
+    assert response.head.status == 200, response.head.status
+    response.close()
+    return events, first
+
+
+def relay(world: RealWorld, upstream: tuple[str, int]) -> None:
+    """The bare loop: bytes from one socket to the other, both ways."""
+    listener = world.listen("127.0.0.1", 0)
+    click.echo(f"ready http://127.0.0.1:{listener.port}/")
+    sys.stdout.flush()
+
+    def copy(source: Stream, sink: Stream) -> None:
+        try:
+            while data := source.read():
+                sink.write(data)
+        except StreamError:
+            pass
+        source.close()
+        sink.close()
+
+    def serve(near: Stream) -> None:
+        far = world.connect(*upstream, world.now_us() + 1_000_000)
+        world.spawn("up", copy, near, far)
+        copy(far, near)
+
+    while True:
+        world.spawn("pair", serve, listener.accept())
+
+
+def load(world: RealWorld, http: HttpClient, address: tuple[str, int], streams: int, rounds: int,
+         tokens: int) -> int:
+    """Events of `streams` clients at once, each asking `rounds` times."""
+    total = 0
+
+    def client(number: int) -> None:
+        nonlocal total
+        for each in range(rounds):
+            total += stream(http, address, body(tokens, number * 1_000 + each))[0]
+
+    for task in [world.spawn("client", client, number) for number in range(streams)]:
+        task.join()
+    return total
+
+
+def measure(world: RealWorld, fleet: Fleet, both: Box) -> None:
+    http = HttpClient(world, 1_000_000, 4_000_000)
+    here = str(Path(__file__))
+    bare = Child(world, "relay", [sys.executable, here, "--relay", str(both.port)], fleet.path("relay.log"))
+    bare_address = ("127.0.0.1", int(bare.first_line(10_000_000).rpartition(":")[2].strip("/")))
+    dispatcher = fleet.dispatchers[0]
+    address = ("127.0.0.1", dispatcher.port)
+    assert dispatcher.edge is not None and dispatcher.planner is not None
+    edge, planner = dispatcher.edge.pid, dispatcher.planner.pid
+    try:
+        load(world, http, address, 4, 2, 20)
+        load(world, http, bare_address, 4, 2, 20)
+        ratios, splits = [], []
+        for _ in range(3):
+            before = cpu_ns(edge), cpu_ns(bare.pid)
+            ours = load(world, http, address, STREAMS, 1, EVENTS)
+            theirs = load(world, http, bare_address, STREAMS, 1, EVENTS)
+            after = cpu_ns(edge), cpu_ns(bare.pid)
+            ratios.append((after[0] - before[0]) / ours / ((after[1] - before[1]) / theirs))
+        print(f"CPU of a streamed event, edge / bare copy loop: {statistics.median(ratios):.2f} "
+              f"(of {', '.join(f'{r:.2f}' for r in ratios)}); aim: at most 3")
+        for _ in range(3):
+            started = [cpu_ns(pid) for pid in (edge, planner, bare.pid)]
+            load(world, http, address, 4, SHORT // 4, 1)
+            load(world, http, bare_address, 4, SHORT // 4, 1)
+            ended = [cpu_ns(pid) for pid in (edge, planner, bare.pid)]
+            splits.append([(b - a) / SHORT for a, b in zip(started, ended, strict=True)])
+        edge_part = statistics.median(s[0] / s[2] for s in splits)
+        planner_part = statistics.median(s[1] / s[2] for s in splits)
+        print(f"CPU of a request of one token, over the bare loop: edge {edge_part:.1f}, planner {planner_part:.1f}")
+        first_tokens(world, fleet, http, address)
+    finally:
+        bare.stop(2_000_000)
+
+
+def first_tokens(world: RealWorld, fleet: Fleet, http: HttpClient, address: tuple[str, int]) -> None:
+    reader = next(box for box in fleet.boxes if box.kind == "reader")
+    writer = next(box for box in fleet.boxes if box.kind == "writer")
+    ours, straight = [], []
+    for number in range(100):
+        started = world.now_us()
+        _, first = stream(http, address, body(1, 10_000 + number))
+        ours.append(first - started)
+        started = world.now_us()
+        read = http.request("127.0.0.1", reader.port, b"POST", b"/v1/chat/completions",
+                            [*HEADERS, (b"x-request-id", b"bench-%d" % number)],
+                            body(1, 20_000 + number, kv_transfer_params=READ_PARAMS))
+        params = msgspec.json.decode(read.read_all())["kv_transfer_params"]
+        read.close()
+        _, first = stream(http, ("127.0.0.1", writer.port), body(
+            1, 20_000 + number, kv_transfer_params={**params, "do_remote_prefill": True}))
+        straight.append(first - started)
+    ratio = statistics.median(ours) / statistics.median(straight)
+    print(f"time to first token, dispatcher / straight at the same engines: {ratio:.2f} (medians of 100 each)")
+
+
+def system_calls() -> None:
+    """Counted in one process with all parts, but only at the edge's own sockets; the poll is shared."""
+    import tempfile
+    counts = {"recv": 0, "send": 0}
+
+    class Counting:
+        def __init__(self, sock: Any) -> None:
+            self._sock = sock
+
+        def recv(self, *arguments: int) -> bytes:
+            counts["recv"] += 1
+            data: bytes = self._sock.recv(*arguments)
+            return data
+
+        def send(self, data: bytes) -> int:
+            counts["send"] += 1
+            sent: int = self._sock.send(data)
+            return sent
+
+        def __getattr__(self, name: str) -> Any:
+            return getattr(self._sock, name)
+
+    with tempfile.TemporaryDirectory() as folder, FleetThread(Path(folder), boxes=(
+            EngineSettings(name="r0", role="read"), EngineSettings(name="w0", role="write", step_ms=2.0))) as fleet:
+        started = real.RealStream.__init__
+        edge_ports = {fleet.port, fleet.planner_port}
+
+        def counted(self: Any, world: RealWorld, sock: Any) -> None:
+            started(self, world, sock)
+            server_side = sock.getsockname()[1] == fleet.port
+            to_engine = any(sock.getpeername()[1] == engine.port for engine in fleet.engines)
+            if server_side or (to_engine and sock.getsockname()[1] not in edge_ports):
+                self._sock = Counting(sock)
+
+        real.RealStream.__init__ = counted  # type: ignore[method-assign]
+        done: list[dict[str, int]] = []
+
+        def client() -> None:
+            world = RealWorld()
+
+            def program() -> None:
+                http = HttpClient(world, 1_000_000, 4_000_000)
+                for tokens in (1, 201):
+                    load(world, http, ("127.0.0.1", fleet.port), 1, 5, tokens)
+                    before = dict(counts)
+                    load(world, http, ("127.0.0.1", fleet.port), 1, 20, tokens)
+                    done.append({name: counts[name] - before[name] for name in counts})
+
+            world.run("client", program)
+
+        thread = threading.Thread(target=client)
+        thread.start()
+        thread.join(60)
+        real.RealStream.__init__ = started  # type: ignore[method-assign]
+    short, long = done
+    for name in counts:
+        print(f"{name} calls: {short[name] / 20:.1f} a request of one token, "
+              f"{(long[name] - short[name]) / 20 / 200:.2f} for each further event")
+
+
+@click.command()
+@click.option("--relay", "relay_to", type=int, hidden=True)
+def main(relay_to: int | None) -> None:
+    set_up_logs(LogConfig(level="error"))
+    world = RealWorld()
+    if relay_to is not None:
+        world.run("relay", relay, world, ("127.0.0.1", relay_to))
+        return
+    boxes = [Box(EngineSettings(name=name, role=role, slots=200, queue=200, memory_tokens=4_000_000,  # type: ignore[arg-type]
+                                step_ms=STEP_MS), 0, kind)
+             for name, role, kind in (("r0", "read", "reader"), ("w0", "write", "writer"), ("b0", "both", "both"))]
+    boxes[2].listed = False  # the bare loop's own engine: it reads and writes
+    config = {"log": {"level": "warning"}, "edge": {"stalled_client_ms": 60_000.0}}
+    fleet = Fleet(world, config, boxes, [Dispatcher(0)])
+
+    def program() -> None:
+        try:
+            fleet.start()
+            measure(world, fleet, boxes[2])
+        finally:
+            fleet.stop()
+            fleet.remove_files()
+
+    world.run("bench", program)
+    system_calls()
+
+
+if __name__ == "__main__":
+    main()
--- a/yardspindle/cli/up.py
+++ b/yardspindle/cli/up.py
@@ -26,11 +26,12 @@
         try:
             fleet.start()
         except ChildError as error:
-            fleet.stop()
+            stop()
             raise Failure(str(error)) from None
         return f"http://127.0.0.1:{fleet.dispatchers[0].port}/v1"
 
     def stop() -> None:
         fleet.stop()
+        fleet.remove_files()
 
     run_until_stopped("up", world, start, stop, "up")
--- a/yardspindle/lab/day.py
+++ b/yardspindle/lab/day.py
@@ -141,6 +141,7 @@
         finally:
             codes = self.fleet.stop()
         report = self.audited()
+        self.fleet.remove_files()
         for name, code in codes.items():
             if name.startswith(("edge", "planner")) and code not in (0, -signal.SIGKILL):
                 report.broke("programs end in order", f"{name} ended with {code}")
--- a/yardspindle/lab/fleet.py
+++ b/yardspindle/lab/fleet.py
@@ -125,7 +125,7 @@
         os.replace(self.path("servers.new"), self.path("servers.toml"))
 
     def stop(self) -> dict[str, int]:
-        """End all, edges first, and remove the files; exit codes by name."""
+        """End all, edges first; exit codes by name. The files stay until `remove_files`."""
         children = [d.edge for d in self.dispatchers] + [d.planner for d in self.dispatchers]
         codes: dict[str, int] = {}
         try:
@@ -139,9 +139,12 @@
             for child in (*children, *(box.child for box in self.boxes)):
                 if child is not None and child.running():
                     child.send(signal.SIGKILL)
-            self.folder.cleanup()
         return codes
 
+    def remove_files(self) -> None:
+        """Remove the fleet's folder."""
+        self.folder.cleanup()
+
     def _child(self, name: str, *arguments: str) -> Child:
         argv = [sys.executable, "-m", "yardspindle", *arguments]
         return Child(self.world, name, argv, self.path(f"{name}.log"))
