--- /dev/null
+++ b/tests/test_engine_client.py
@@ -0,0 +1,245 @@
+"""The engines' client against scripted peers: what happens becomes the right status, and what proves what."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from yardspindle.core.directory import Server
+from yardspindle.core.proof import PROVES_NOT_RUN, may_have_run
+from yardspindle.engine.http_client import ExchangeBroken, HttpClient
+from yardspindle.engine.vllm import AnswerStream, Ended, EngineClient, read_body, write_body
+from yardspindle.interface import Role, State, Status
+from yardspindle.protocol import http1
+from yardspindle.protocol.sse import write_event
+from yardspindle.runtime.real import RealWorld
+from yardspindle.runtime.scheduler import Closed, DeadlineExceeded
+from yardspindle.runtime.world import Stream, StreamError
+
+Script = Callable[[Stream, int], bool | None]  # a request came on this connection, the so-many-th; True: go on
+
+
+def read_request(stream: Stream) -> bool:
+    parser = http1.RequestParser()
+    while True:
+        data = stream.read()
+        if not data:
+            return False
+        parser.feed(data)
+        while (event := parser.next_event()) is not None:
+            if isinstance(event, http1.End):
+                return True
+
+
+class Peer:
+    """Plays a script on every connection."""
+
+    def __init__(self, world: RealWorld, script: Script) -> None:
+        self.world, self.script = world, script
+        self.listener = world.listen("127.0.0.1", 0)
+        self.connections = self.requests = 0
+        world.spawn("peer", self.accept)
+
+    def accept(self) -> None:
+        while True:
+            try:
+                stream = self.listener.accept()
+            except Closed:
+                return
+            self.connections += 1
+            self.world.spawn("connection", self.serve, stream)
+
+    def serve(self, stream: Stream) -> None:
+        try:
+            while read_request(stream):
+                self.requests += 1
+                if not self.script(stream, self.requests):
+                    break
+        except StreamError:
+            pass
+        stream.close()
+
+    def server(self, role: Role = Role.WRITE, places: bool = True) -> Server:
+        return Server(1, "peer", "127.0.0.1", self.listener.port, role, State.SERVING, places)
+
+
+def reply(status: int, body: object, *headers: tuple[bytes, bytes]) -> bytes:
+    return http1.write_response(status, list(headers), json.dumps(body).encode())
+
+
+def answers(data: bytes, go_on: bool = True) -> Script:
+    def script(stream: Stream, number: int) -> bool:
+        stream.write(data)
+        return go_on
+    return script
+
+
+def resets(stream: Stream, number: int) -> None:
+    stream.abort()
+
+
+def closes(stream: Stream, number: int) -> None:
+    return None
+
+
+def with_peer(script: Script, use: Callable[[RealWorld, Peer, EngineClient], Any]) -> Any:
+    world = RealWorld(1)
+
+    def main() -> Any:
+        peer = Peer(world, script)
+        return use(world, peer, EngineClient(HttpClient(world, 500_000, 4_000_000), "u"))
+
+    return world.run("main", main)
+
+
+def error(status: int, code: str | None) -> bytes:
+    return reply(status, {"error": {"message": "m", "code": code}})
+
+
+STATE = {"kv_transfer_params": {"remote_host": "h", "remote_port": 1}, "usage": {
+    "prompt_tokens": 7, "prompt_tokens_details": {"cached_tokens": 5}}}
+
+
+@pytest.mark.parametrize(("script", "status", "note"), [
+    (answers(reply(200, STATE)), Status.READ, 5),
+    (answers(reply(200, {"usage": {}})), Status.ERROR, 0),
+    (answers(http1.write_response(200, [], b"nonsense")), Status.ERROR, 0),
+    (answers(error(503, "engine_full")), Status.FULL, 0), (answers(error(503, "engine_draining")), Status.FULL, 0),
+    (answers(error(503, None)), Status.ERROR, 0), (answers(error(500, "engine_full")), Status.ERROR, 0),
+    (answers(http1.write_response(502, [], b"<html>")), Status.ERROR, 0),
+    (resets, Status.RESET, 0), (closes, Status.RESET, 0), (answers(b"HTTP/9 nonsense\r\n\r\n", False), Status.RESET, 0),
+    (answers(b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{", False), Status.RESET, 0)])
+def test_how_a_read_ends(script: Script, status: Status, note: int) -> None:
+    ended = with_peer(script, lambda world, peer, engines: engines.read(peer.server(Role.READ), 1, 0, b"{}"))
+    assert (ended.status, ended.note) == (status, note)
+    assert not may_have_run(Role.READ, ended.status), "a read has no effect, however it ends"
+    if status is Status.READ:
+        assert ended.state == {"remote_host": "h", "remote_port": 1, "do_remote_prefill": True,
+                               "do_remote_decode": False}
+
+
+@pytest.mark.parametrize(("script", "status", "note", "proves"), [
+    (answers(error(503, "engine_full")), Status.FULL, 0, True), (answers(error(409, "no_state")), Status.FULL, 1, True),
+    (answers(error(503, None)), Status.ERROR, 0, False), (answers(error(500, None)), Status.ERROR, 0, False),
+    (answers(error(400, "bad_request")), Status.ERROR, 0, False),
+    (resets, Status.RESET, 0, False), (closes, Status.RESET, 0, False)])
+def test_how_a_write_ends_before_its_stream(script: Script, status: Status, note: int, proves: bool) -> None:
+    ended = with_peer(script, lambda world, peer, engines: engines.write(peer.server(), 1, 1, b"{}", None))
+    assert isinstance(ended, Ended) and (ended.status, ended.note) == (status, note)
+    assert (status in PROVES_NOT_RUN) == proves == (not may_have_run(Role.WRITE, status))
+    assert (ended.client_error is not None) == (ended.detail.startswith("HTTP 400"))
+
+
+def test_a_connection_never_made_proves_that_nothing_ran() -> None:
+    def use(world: RealWorld, peer: Peer, engines: EngineClient) -> Any:
+        server = peer.server()
+        peer.listener.close()
+        return engines.write(server, 1, 1, b"{}", None), engines.read(server, 1, 0, b"{}")
+
+    for ended in with_peer(closes, use):
+        assert ended.status is Status.CONNECT_FAILED and ended.status in PROVES_NOT_RUN
+
+
+def test_a_peer_that_says_nothing_is_left_at_the_deadline_and_sees_it() -> None:
+    seen: list[str] = []
+
+    def silent(stream: Stream, number: int) -> None:
+        try:
+            seen.append("closed" if not stream.read() else "more")
+        except StreamError:
+            seen.append("reset")
+
+    def use(world: RealWorld, peer: Peer, engines: EngineClient) -> None:
+        with pytest.raises(DeadlineExceeded), world.deadline(world.now_us() + 30_000):
+            engines.write(peer.server(), 1, 1, b"{}", None)
+        while not seen:
+            world.sleep_until(world.now_us() + 1_000)
+
+    with_peer(silent, use)
+    assert seen == ["reset"], "an engine ends work whose connection is gone"
+
+
+def test_connections_are_kept_and_one_that_the_engine_closed_is_not_used() -> None:
+    def script(stream: Stream, number: int) -> bool:
+        stream.write(reply(200, STATE))
+        return number != 2  # after its second answer it closes the idle connection
+
+    def use(world: RealWorld, peer: Peer, engines: EngineClient) -> tuple[int, int, int]:
+        server = peer.server(Role.READ)
+        for number in range(4):
+            assert engines.read(server, number, 0, b"{}").status is Status.READ
+            if number == 1:
+                kept = next(iter(engines.http._idle.values()))[0]
+                kept.stream.wait_input()
+        return peer.connections, engines.http.counts.reused, engines.http.counts.stale
+
+    assert with_peer(script, use) == (2, 2, 1)
+
+
+def test_idle_connections_are_closed_when_old_or_asked() -> None:
+    def use(world: RealWorld, peer: Peer, engines: EngineClient) -> int:
+        engines.http.idle_us = 5_000
+        engines.read(peer.server(Role.READ), 1, 0, b"{}")
+        world.sleep_until(world.now_us() + 8_000)
+        engines.http.close_old()
+        assert not engines.http._idle
+        engines.http.idle_us = 5_000_000
+        engines.read(peer.server(Role.READ), 2, 0, b"{}")
+        engines.http.close_idle("127.0.0.1", peer.listener.port)
+        engines.read(peer.server(Role.READ), 3, 0, b"{}")
+        return peer.connections
+
+    assert with_peer(answers(reply(200, STATE)), use) == 3
+
+
+@pytest.mark.parametrize(("tail", "whole"), [
+    (http1.write_chunk(write_event(b"[DONE]")) + http1.LAST_CHUNK, True), (b"", False)])
+def test_a_stream_that_is_cut_is_told_from_one_that_ended(tail: bytes, whole: bool) -> None:
+    start = http1.write_response(200, [], None) + http1.write_chunk(write_event(b'{"a":1}'))
+
+    def use(world: RealWorld, peer: Peer, engines: EngineClient) -> list[bytes]:
+        stream = engines.write(peer.server(), 1, 1, b"{}", None)
+        assert isinstance(stream, AnswerStream)
+        got: list[bytes] = []
+        try:
+            for batch in stream.batches():
+                got += batch
+            assert whole
+        except ExchangeBroken:
+            assert not whole
+        stream.close()
+        return got
+
+    got = with_peer(answers(start + tail, go_on=False), use)
+    assert got == [b'{"a":1}', b"[DONE]"][:1 + whole]
+
+
+@pytest.mark.parametrize(("data", "held"), [
+    (reply(200, {"held": True}), True), (reply(409, {"held": False}), False), (reply(404, {}), None),
+    (reply(500, {}), None)])
+def test_a_place_is_held_only_on_the_writers_word(data: bytes, held: bool | None) -> None:
+    assert with_peer(answers(data), lambda world, peer, engines: engines.ask_place(
+        peer.server(), 1, 1, 9.0, peer.server(Role.READ), 0)) is held
+
+
+def test_a_release_that_was_not_heard_says_so() -> None:
+    assert with_peer(answers(http1.write_response(204, [], b"")), lambda world, peer, engines: (
+        engines.release_state(peer.server(), 1, 0), engines.release_place(peer.server(), 1, 1))) == (True, True)
+    assert with_peer(resets, lambda world, peer, engines: engines.release_state(peer.server(), 1, 0)) is False
+
+
+def test_bodies_of_the_two_stages() -> None:
+    import msgspec
+    raw = msgspec.json.decode(b'{"model":"m","messages":[{"role":"user","content":"x"}],"n":2,"min_tokens":5,'
+                              b'"stream":false,"stream_options":{"novel":1},"top_k":0.10}',
+                              type=dict[str, msgspec.Raw])
+    read = json.loads(read_body(raw))
+    assert (read["max_tokens"], read["stream"]) == (1, False)
+    assert read["kv_transfer_params"]["do_remote_decode"] and not {"n", "min_tokens", "stream_options"} & set(read)
+    body = write_body(raw, {"remote_host": "h"})
+    write = json.loads(body)
+    assert write["stream"] and write["stream_options"] == {"novel": 1, "include_usage": True}
+    assert write["n"] == 2 and write["kv_transfer_params"] == {"remote_host": "h"} and b"0.10" in body
--- /dev/null
+++ b/tests/test_serving.py
@@ -0,0 +1,194 @@
+"""Serving: clients that stall, dawdle, leave or pipeline, draining, and faults in a handler."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from yardspindle.api.serving import Exchange, Reply, Server, ServingLimits
+from yardspindle.protocol import http1
+from yardspindle.runtime.real import RealWorld
+from yardspindle.runtime.world import Stream, StreamError
+
+GET = b"GET /%s HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class Handler:
+    """Answers by path."""
+
+    def __init__(self, world: RealWorld) -> None:
+        self.world = world
+        self.left: list[str] = []
+        self.go = world.signal()
+        self.begun = world.signal()
+
+    def early(self, head: http1.RequestHead) -> Reply | None:
+        return Reply(404, [], b"none") if head.target == b"/none" else None
+
+    def malformed(self, error: http1.ProtocolError) -> Reply:
+        return Reply(error.status, [], error.reason.encode())
+
+    def handle(self, exchange: Exchange) -> None:
+        name = exchange.head.target.decode()
+
+        def gone() -> None:
+            self.left.append(name)
+            self.go.set()
+
+        exchange.on_gone = gone
+        self.begun.set()
+        match name:
+            case "/waits":
+                self.go.wait()
+                exchange.reply(Reply(200, [], b"waited"))
+            case "/floods":
+                head = exchange.start(200, [])
+                for _ in range(10_000):
+                    exchange.send(b"x" * 65_536, head)
+                    head = b""
+            case "/breaks":
+                raise ZeroDivisionError("planted")
+            case "/forgets":
+                pass
+            case _:
+                exchange.reply(Reply(200, [], name.encode()))
+
+
+def serve(use: Callable[[RealWorld, Server, Handler, Callable[[], Stream]], Any],
+          **limits: int) -> tuple[Any, list[str]]:
+    world = RealWorld(1)
+    faults: list[str] = []
+
+    def main() -> Any:
+        handler = Handler(world)
+        server = Server(world, world.listen("127.0.0.1", 0), handler, ServingLimits(http1.Limits(), **limits),
+                        lambda fault: faults.append(type(fault).__name__))
+        world.spawn("accept", server.serve)
+        return use(world, server, handler, lambda: world.connect(
+            "127.0.0.1", server.listener.port, world.now_us() + 1_000_000))
+
+    return world.run("main", main), faults
+
+
+def rest(stream: Stream) -> bytes:
+    got = b""
+    try:
+        while data := stream.read():
+            got += data
+    except StreamError:
+        got += b"<reset>"
+    return got
+
+
+def test_a_client_that_takes_nothing_is_cut_off() -> None:
+    def use(world: RealWorld, server: Server, handler: Handler, connect: Callable[[], Stream]) -> list[str]:
+        stream = connect()
+        stream.write(GET % b"floods")
+        handler.go.wait()
+        while server.connections:
+            world.sleep_until(world.now_us() + 1_000)
+        assert rest(stream).endswith(b"<reset>")
+        return handler.left
+
+    assert serve(use, stalled_us=100_000) == (["/floods"], [])
+
+
+def test_a_slow_head_and_an_idle_connection_are_closed() -> None:
+    def use(world: RealWorld, server: Server, handler: Handler, connect: Callable[[], Stream]) -> tuple[bytes, bytes]:
+        slow, idle = connect(), connect()
+        slow.write(b"GET / HT")
+        return rest(slow), rest(idle)
+
+    assert serve(use, idle_us=40_000, header_us=30_000) == ((b"", b""), [])
+
+
+def test_a_client_that_leaves_is_noticed_while_its_request_waits() -> None:
+    def use(world: RealWorld, server: Server, handler: Handler, connect: Callable[[], Stream]) -> list[str]:
+        stream = connect()
+        stream.write(GET % b"waits" + GET % b"next")  # what is pipelined behind is not answered
+        handler.begun.wait()
+        stream.close()
+        handler.go.wait()
+        while server.connections:
+            world.sleep_until(world.now_us() + 1_000)
+        return handler.left
+
+    assert serve(use) == (["/waits"], [])
+
+
+def test_early_answers_keep_the_connection_unless_a_body_follows() -> None:
+    def use(world: RealWorld, server: Server, handler: Handler, connect: Callable[[], Stream]) -> tuple[bytes, bytes]:
+        stream = connect()
+        stream.write(GET % b"none" + GET % b"ok")
+        got = b""
+        while b"/ok" not in got:
+            got += stream.read()
+        stream.close()
+        posted = connect()
+        posted.write(b"POST /none HTTP/1.1\r\nHost: x\r\nContent-Length: 30\r\n\r\n" + GET % b"smuggled")
+        reply = b""
+        while b"none" not in reply:
+            reply += posted.read()
+        posted.close()
+        return got, reply
+
+    (kept, closed), faults = serve(use)
+    assert kept.count(b"HTTP/1.1 404") == 1 and kept.endswith(b"/ok") and not faults
+    assert b"connection: close" in closed and b"smuggled" not in closed
+
+
+def test_a_handler_that_fails_or_forgets_costs_one_connection() -> None:
+    def use(world: RealWorld, server: Server, handler: Handler, connect: Callable[[], Stream]) -> list[bytes]:
+        got = []
+        for path in (b"breaks", b"forgets", b"ok"):
+            stream = connect()
+            stream.write(GET % path)
+            if path == b"ok":
+                got.append(stream.read())
+                stream.close()
+            else:
+                got.append(rest(stream))
+        return got
+
+    got, faults = serve(use)
+    assert faults == ["ZeroDivisionError"]
+    assert not any(b"200" in data for data in got[:2]) and got[2].endswith(b"/ok")
+
+
+def test_draining_closes_idle_ones_and_waits_for_the_rest() -> None:
+    def use(world: RealWorld, server: Server, handler: Handler, connect: Callable[[], Stream]) -> tuple[bytes, bytes]:
+        idle, busy = connect(), connect()
+        busy.write(GET % b"waits")
+        handler.begun.wait()
+        drained = world.spawn("drain", server.drain, world.now_us() + 5_000_000)
+        first = rest(idle)
+        handler.go.set()
+        second = rest(busy)
+        drained.join()
+        assert server.connections == 0
+        return first, second
+
+    (idle, busy), faults = serve(use)
+    assert idle == b"" and b"connection: close" in busy and busy.endswith(b"waited") and not faults
+
+
+def test_a_drain_has_an_end() -> None:
+    def use(world: RealWorld, server: Server, handler: Handler, connect: Callable[[], Stream]) -> int:
+        stream = connect()
+        stream.write(GET % b"waits")
+        handler.begun.wait()
+        server.drain(world.now_us() + 20_000)
+        rest(stream)
+        return server.connections
+
+    assert serve(use) == (0, [])
+
+
+def test_http_1_0_gets_no_chunks() -> None:
+    def use(world: RealWorld, server: Server, handler: Handler, connect: Callable[[], Stream]) -> bytes:
+        stream = connect()
+        stream.write(b"GET /ok HTTP/1.0\r\n\r\n")
+        return rest(stream)
+
+    got, _ = serve(use)
+    assert b"transfer-encoding" not in got and got.endswith(b"/ok")
