--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -90,7 +90,7 @@
 
 def sent_to_a_drained_box(clients: list[Line], boxes: list[Line]) -> None:
     told = first(boxes, ev="control", do="listed_draining")
-    boxes.append({"t": told["t"] + 1_500_000, "box": told["box"], "ev": "arrive", "id": "x-1.0", "lab": ""})
+    boxes.append({"t": told["t"] + 1_500_000, "box": told["box"], "ev": "arrive", "id": "x-1.0", "stage": "read"})
 
 
 def fell_over(clients: list[Line], boxes: list[Line]) -> None:
--- a/yardspindle/lab/audit.py
+++ b/yardspindle/lab/audit.py
@@ -165,6 +165,8 @@
     holds: list[tuple[str, str, int, int]] = []
     open_holds: dict[tuple[str, str], int] = {}
     hung: dict[str, list[list[int]]] = defaultdict(list)
+    stages: dict[str, str] = {}
+    running: set[str] = set()
     last = boxes[-1]["t"] if boxes else 0
 
     def close_hold(box: str, name: str, t: int) -> None:
@@ -176,11 +178,14 @@
         match line["ev"]:
             case "arrive":
                 span = [t, last]
+                stages[name] = line["stage"]
                 open_attempts[(box, name)] = span
                 out[_request(name)].append(span)
             case "end" | "gone":
                 if (box, name) in open_attempts:
                     open_attempts.pop((box, name))[1] = t
+            case "run":
+                running.add(name)
             case "hold state" | "hold place":
                 open_holds[(box, name)] = t
             case "fetched" | "take place" | "release":
@@ -195,6 +200,8 @@
                     close_hold(*key, t)
                 for key in [key for key in open_attempts if key[0] == box]:
                     open_attempts.pop(key)[1] = t
+                    part = "stream" if key[1] in running else "read" if stages[key[1]] == "read" else "move"
+                    report.named[f"attempts whose box died mid-{part}"] += 1
                 _close(hung[box], t)
             case "control" if line["do"] == "hang":
                 hung[box].append([t, last])
