--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -35,6 +35,7 @@
     assert report.breaks == []
     tries = [line for line in clients if line["ev"] == "send"]
     assert sum(sum(row.values()) for row in report.tally.values()) == len(tries) > 100
+    assert all(report.named[f"attempts whose box died mid-{part}"] for part in ("read", "move", "stream"))
     assert report.tally["order"]["served"] and report.tally["enquiry"]["served"]
     assert {"killed", "control", "start", "hold state", "hold place", "release", "fetched"} <= {
         line["ev"] for line in boxes}
--- a/yardspindle/lab/day.py
+++ b/yardspindle/lab/day.py
@@ -52,6 +52,7 @@
     dispatcher: int = 0
     factor: float = 1.0
     down_s: float = 1.0
+    when: Literal["read", "move", "stream", ""] = ""  # strike a box as soon as it is seen at this
 
 
 class Day(Struct, forbid_unknown_fields=True, frozen=True):
@@ -189,7 +190,7 @@
             able = [box for box in self.fleet.boxes if box.child is not None and box.child.running()
                     and box.state == "serving" and box.kind.startswith(trouble.role)]
             named = [box for box in self.fleet.boxes if box.settings.name == trouble.box]
-            boxes = named or self.rng.sample(able, 1)
+            boxes = named or ([self._caught(trouble.when, able)] if trouble.when else self.rng.sample(able, 1))
         self.say(f"{trouble.at_s:6.1f} s  {trouble.do} {', '.join(box.settings.name for box in boxes)}")
         for box in boxes:
             self._box(trouble, box)
@@ -201,6 +202,23 @@
                 self.fleet.ready_box(box)
             self.fleet.write_list()
 
+    def _caught(self, when: str, able: list[Box]) -> Box:
+        """The first box that its journal shows in the middle of a read, a move or a stream."""
+        at = os.path.getsize(self.box_journal)
+        boxes = {box.settings.name: box for box in able}
+        while True:
+            with open(self.box_journal, "rb") as file:
+                file.seek(at)
+                data = file.read()
+            whole = data.rfind(b"\n") + 1
+            at += whole
+            for line in map(msgspec.json.decode, data[:whole].splitlines()):
+                seen = {"run": "stream"}.get(line["ev"]) or (
+                    {"read": "read", "write": "move"}[line["stage"]] if line["ev"] == "arrive" else "")
+                if seen == when and line["box"] in boxes:
+                    return boxes[line["box"]]
+            self.world.sleep_until(self.world.now_us() + 2_000)
+
     def _box(self, trouble: Trouble, box: Box) -> None:
         match trouble.do:
             case "kill" | "restart" | "restart_rack":
