Publish cache events from stand-in readers; test the index on sockets, right and wrong

On sockets the index comes to agree with every reader block by block; readers that hide, claim, delay, shuffle or speak of another model break no rule and cost no more than 0.02 of service against the same traffic without index.

Found and mended: a ZeroMQ context left to the garbage collector waited for its open sockets for ever; a World now ends it with its program. 9 tests on sockets, audited from the sockets.

--- a/tests/fleet_thread.py
+++ b/tests/fleet_thread.py
@@ -19,15 +19,16 @@
 CONFIG: dict[str, Any] = {
     "classes": [{"name": "chat", "effect": "safe", "aim_ms": 1_500, "give_up_ms": 3_000},
                 {"name": "order", "effect": "unsafe", "aim_ms": 1_500, "give_up_ms": 3_000}],
-    "rules": {"max_retry_after_ms": 200}, "planner": {"reread_ms": 20}}
+    "rules": {"max_retry_after_ms": 200}, "planner": {"reread_ms": 20}, "index": {"block_size": 64}}
 
 
 class FleetThread:
     """Edge, planner and engines; `call` runs a function inside the World and gives its result."""
 
     def __init__(self, folder: Path, config: dict[str, Any] | None = None,
-                 boxes: tuple[EngineSettings, ...] | None = None) -> None:
+                 boxes: tuple[EngineSettings, ...] | None = None, engine_type: type[Engine] = Engine) -> None:
         self.folder = folder
+        self.engine_type = engine_type
         self.journal = folder / "journal.jsonl"
         base = {**CONFIG, **(config or {})}
         self.boxes = boxes or (EngineSettings(name="r0", role="read"), EngineSettings(name="w0", role="write"))
@@ -69,7 +70,7 @@
     def _program(self) -> None:
         for box in self.boxes:
             named = {name: getattr(box, name) for name in box.__struct_fields__}
-            engine = Engine(self.world, EngineSettings(**{**named, "journal": str(self.journal)}))
+            engine = self.engine_type(self.world, EngineSettings(**{**named, "journal": str(self.journal)}))
             engine.start("127.0.0.1", 0)
             self.engines.append(engine)
         self.write_list()
@@ -111,6 +112,8 @@
             rows += ["[[servers]]", f'name = "{engine.set.name}"', f'address = "127.0.0.1:{engine.port}"',
                      f'kind = "{kind}"', f'state = "{self.states.get(engine.set.name, "serving")}"',
                      f"places = {str(engine.set.places).lower()}"]
+            if engine.set.events:
+                rows += [f'events = "127.0.0.1:{engine.events_port}"', f'replay = "127.0.0.1:{engine.replay_port}"']
         (self.folder / "servers.toml").write_text("\n".join(rows))
 
     def call(self, function: Callable[[], Any]) -> Any:
--- /dev/null
+++ b/tests/test_prefix_path.py
@@ -0,0 +1,184 @@
+"""The prefix index on sockets: it helps when events are right, and harms nothing when they are wrong on purpose."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from tests.fleet_thread import FleetThread
+from yardspindle import Policy
+from yardspindle import interface as i
+from yardspindle.core.blocks import chain, pack
+from yardspindle.core.cache_feed import Batch, BlockStored
+from yardspindle.lab.audit import Figures, Report, audit
+from yardspindle.lab.clients import ClientClass, Clients, Habits, draw
+from yardspindle.lab.day import read_lines
+from yardspindle.lab.engine import Engine, EngineSettings
+
+CLASSES = (ClientClass("chat", 0.5, 2_900.0, 6), ClientClass("order", 0.5, 2_900.0, 6))
+HABITS = Habits(hang_up=0.05, stop_reading=0.0, openings=6, opening_words=300, words=30, whole=0.2)
+
+
+class Hides(Engine):
+    """Tells of nothing that it keeps."""
+
+    def _publish(self, number: int, data: bytes) -> None:
+        super()._publish(number, msgspec.msgpack.encode(Batch(self.world.now_us() / 1e6, [])))
+
+
+class Claims(Engine):
+    """Tells of texts that it has not: those of every opening, again and again."""
+
+    def _publish(self, number: int, data: bytes) -> None:
+        batch = msgspec.msgpack.decode(data, type=Batch)
+        packed = [b"<|system|>opening %d: price of heating oil today please confirm" % n * 20 for n in range(6)]
+        batch.events += [BlockStored([number * 1_000_000 + n * 1_000 + at for at in range(len(text) // 64)], None,
+                                     list(text[:len(text) // 64 * 64]), 64) for n, text in enumerate(packed)]
+        super()._publish(number, msgspec.msgpack.encode(batch))
+
+
+class Late(Engine):
+    """Tells seconds late."""
+
+    def _publish(self, number: int, data: bytes) -> None:
+        publish = super()._publish
+        self.world.call_at(self.world.now_us() + 2_000_000, lambda: publish(number, data))
+
+
+class Shuffles(Engine):
+    """Loses, doubles and shuffles, and has no replay for what is lost."""
+
+    def _publish(self, number: int, data: bytes) -> None:
+        rng = self.world.random(f"{self.set.name} {number}")
+        self.cache.buffer.clear()
+        publish = super()._publish
+        for _ in range(rng.choice((0, 1, 1, 2))):
+            self.world.call_at(self.world.now_us() + rng.randrange(1, 200_000), lambda: publish(number, data))
+
+
+class OtherModel(Engine):
+    """Tells of another model's tokens, in blocks of another size, and now and then of nonsense."""
+
+    def _publish(self, number: int, data: bytes) -> None:
+        batch = msgspec.msgpack.decode(data, type=Batch)
+        for event in batch.events:
+            if isinstance(event, BlockStored):
+                event.token_ids = [token + 1_000 for token in event.token_ids]
+                event.block_size += number % 2
+        super()._publish(number, b"\xc1" if number % 5 == 0 else msgspec.msgpack.encode(batch))
+
+
+def play(fleet: FleetThread, requests: int, seed: int = 1) -> Report:
+    """Drawn traffic at once and in pieces, then the audit of the sockets."""
+    lines: list[dict[str, Any]] = []
+
+    def run() -> bool:
+        world, rng = fleet.world, random.Random(seed)
+        clients = Clients(world, "yardspindle-demo", lines.append, HABITS)
+        tasks = []
+        for number in range(requests):
+            tasks.append(world.spawn("client", clients.request, draw(rng, number, CLASSES, HABITS),
+                                     [("127.0.0.1", fleet.port)]))
+            world.sleep_until(world.now_us() + rng.randrange(8_000))
+        for task in tasks:
+            task.join()
+        return True
+
+    assert fleet.call(run)
+    fleet.until(lambda: not fleet.edge.core.busy and not any(
+        engine.states or engine.places or engine.load.running for engine in fleet.engines))
+    assert not fleet.crashes
+    report = audit(lines, read_lines(str(fleet.journal)), Figures(unsafe=("order",)))
+    assert report.breaks == []
+    assert fleet.edge.core.watch.breaks == []
+    return report
+
+
+def served(report: Report) -> float:
+    asked = sum(sum(row.values()) - row["left"] for row in report.tally.values())
+    return sum(row["served"] for row in report.tally.values()) / asked
+
+
+BOXES = tuple(EngineSettings(name=f"r{n}", role="read", events=True, cache_tokens=12_000, read_tokens_per_s=100_000.0)
+              for n in range(3)) + (EngineSettings(name="w0", role="write", slots=64, step_ms=1.0),)
+
+
+def test_what_readers_tell_becomes_what_the_policy_hears(tmp_path: Path) -> None:
+    with FleetThread(tmp_path, boxes=BOXES) as fleet:
+        play(fleet, 120)
+        knowledge = fleet.edge.knowledge
+        assert knowledge is not None
+        fleet.until(lambda: all(feed.last is not None and feed.trust(fleet.world.now_us()) == 1.0
+                                for feed in knowledge.feeds.values()))
+        for engine in fleet.engines[:3]:
+            blocks = list(engine.cache.blocks)
+            assert knowledge.index.held_by(engine.set.name) == len(blocks)
+            assert all(knowledge.index.longest(engine.set.name, [block]) == 1 for block in blocks)
+        assert knowledge.score.found > 0.9 * knowledge.score.told > 0
+        fleet.call(lambda: fleet.engines[0].cache.clear())
+        fleet.until(lambda: knowledge.index.held_by("r0") == 0)
+
+
+@pytest.mark.parametrize("kind", [Hides, Claims, Late, Shuffles, OtherModel])
+def test_events_that_are_wrong_on_purpose_break_no_rule_and_cost_no_service(tmp_path: Path,
+                                                                          kind: type[Engine]) -> None:
+    (tmp_path / "off").mkdir()
+    with FleetThread(tmp_path / "off", {"index": {"mode": "off"}}, BOXES) as fleet:
+        without = served(play(fleet, 150))
+    (tmp_path / "wrong").mkdir()
+    with FleetThread(tmp_path / "wrong", boxes=BOXES, engine_type=kind) as fleet:
+        wrong = served(play(fleet, 150))
+        knowledge = fleet.edge.knowledge
+        assert knowledge is not None and knowledge.feeds
+    assert wrong >= without - 0.02
+
+
+def test_a_box_that_publishes_is_left_when_it_leaves_the_list(tmp_path: Path) -> None:
+    with FleetThread(tmp_path, boxes=BOXES) as fleet:
+        play(fleet, 30)
+        knowledge = fleet.edge.knowledge
+        assert knowledge is not None
+        engines = fleet.engines
+        fleet.engines = [engine for engine in engines if engine.set.name != "r1"]
+        fleet.call(fleet.write_list)
+        fleet.until(lambda: "r1" not in knowledge.feeds)
+        assert knowledge.index.held_by("r1") == 0
+        fleet.engines = engines
+
+
+# --- the policy's departure
+
+def router() -> Policy:
+    settings = i.Settings(me=0, instances=6, zone="a", classes=(i.RequestClass("c", 1_000_000, 5_000_000),),
+                          kinds=(i.Kind("r", i.Role.READ), i.Kind("w", i.Role.WRITE, 1e9)))
+    policy = Policy(settings, seed=1)
+    policy.handle(0, i.Members(i.ListKind.COMPLETE, 1, (
+        *(i.Entry(n, "a", "r", 0, i.State.SERVING, 1.0) for n in range(1, 7)),
+        i.Entry(9, "a", "w", 0, i.State.SERVING, 1.0))))
+    return policy
+
+
+def sent_to(policy: Policy, number: int, kept: dict[int, float] | None) -> int:
+    actions = policy.handle(1_000 * number, i.Request(
+        number, "c", 5_000_000, 1_000.0, 900.0, prefix="p", session=f"s{number}", kept=kept))
+    return next(action.server for action in actions if isinstance(action, i.Send))
+
+
+def test_of_the_readers_it_may_use_the_one_with_least_to_read_is_taken() -> None:
+    home = sent_to(router(), 1, None)
+    assert sent_to(router(), 1, {}) == home, "told nothing, it decides as ever"
+    elsewhere = {n: sent_to(router(), 1, {n: 900.0, home: 0.0}) for n in range(1, 7)}
+    taken = {n for n, server in elsewhere.items() if server == n}
+    assert home in taken and len(taken) == 5, "four that its key is spread over, the spill, and no other"
+    assert all(server in (n, home) for n, server in elsewhere.items())
+
+
+def test_blocks_of_tokens_and_of_bytes_name_the_same_text() -> None:
+    text = b"<|user|>" + b"word " * 40
+    packed = bytearray(4 * len(text))
+    packed[::4] = text
+    assert chain(bytes(packed), 64) == chain(pack(list(text)), 64)
--- a/yardspindle/cli/engine.py
+++ b/yardspindle/cli/engine.py
@@ -14,7 +14,9 @@
 @click.option("--settings", "file", type=click.Path(dir_okay=False), help="JSON file with its settings.")
 @click.option("--host", default="127.0.0.1", show_default=True)
 @click.option("--port", default=0, type=click.IntRange(0, 65_535), help="0: chosen by the system.")
-def engine_command(file: str | None, host: str, port: int) -> None:
+@click.option("--events-port", default=0, type=click.IntRange(0, 65_535), help="For cache events, if it has them.")
+@click.option("--replay-port", default=0, type=click.IntRange(0, 65_535), help="For asking for missed ones.")
+def engine_command(file: str | None, host: str, port: int, events_port: int, replay_port: int) -> None:
     """Run a stand-in engine that reads, writes, or both; no model is behind it."""
     settings = EngineSettings()
     if file is not None:
@@ -29,7 +31,7 @@
     engine = Engine(world, settings)
 
     def start() -> str:
-        at = engine.start(host, port)
-        return f"http://{at[0]}:{at[1]}/v1"
+        at = engine.start(host, port, events_port, replay_port)
+        return f"http://{at[0]}:{at[1]}/v1 {engine.events_port} {engine.replay_port}"
 
     run_until_stopped("engine", world, start, lambda: None, f"--port: {host}:{port}")
--- a/yardspindle/lab/day.py
+++ b/yardspindle/lab/day.py
@@ -108,7 +108,8 @@
         self.fleet = Fleet(world, {
             "classes": [{"name": c.name, "effect": c.effect, "aim_ms": c.aim_ms, "give_up_ms": c.give_up_ms,
                          "worth": c.worth} for c in day.classes],
-            "rules": rules, "edge": {"stalled_client_ms": 2_000.0}, "log": {"level": "info"}}, [],
+            "rules": rules, "edge": {"stalled_client_ms": 2_000.0}, "log": {"level": "info"},
+            "index": {"block_size": EngineSettings().block_size}}, [],
             [Dispatcher(number) for number in range(day.dispatchers)])
         folder = keep or self.fleet.folder.name
         self.box_journal = os.path.join(folder, "boxes.jsonl")
@@ -118,7 +119,8 @@
         for name in _box_names(day):
             kind, rack = name[:6], int(name[6:].split("-")[0])
             settings = msgspec.convert({
-                "name": name, "role": "read" if kind == "reader" else "write", "journal": self.box_journal,
+                "name": name, "role": "read" if kind == "reader" else "write", "events": kind == "reader",
+                "journal": self.box_journal,
                 "cold_ms": day.cold_ms, "start_capacity": rules["start_capacity"],
                 "fall_multiple": rules.get("fall_multiple", 2.5), "fall_ms": rules.get("fall_ms", 2_000.0),
                 **day.box}, EngineSettings)
--- a/yardspindle/lab/fleet.py
+++ b/yardspindle/lab/fleet.py
@@ -33,6 +33,8 @@
     zone: str = "local"
     child: Child | None = None
     port: int = 0
+    events_port: int = 0
+    replay_port: int = 0
     state: str = "serving"
     up_since_ms: float = 0.0
     listed: bool = True
@@ -86,12 +88,15 @@
         with open(file, "wb") as out:
             out.write(msgspec.json.encode(box.settings))
         box.up_since_ms = self.world.now_us() / 1_000 if box.child is not None else 0.0
-        box.child = self._child(name, "engine", "--settings", file, "--port", str(box.port))
+        box.child = self._child(name, "engine", "--settings", file, "--port", str(box.port),
+                                "--events-port", str(box.events_port), "--replay-port", str(box.replay_port))
 
     def ready_box(self, box: Box) -> None:
         """Wait until an engine serves."""
         assert box.child is not None
-        box.port = _port(box.child.first_line(READY_US))
+        ready = box.child.first_line(READY_US)
+        box.port = _port(ready)
+        box.events_port, box.replay_port = (int(port) for port in ready.split()[2:])
 
     def launch_planner(self, dispatcher: Dispatcher) -> None:
         """Start a planner's process."""
@@ -120,6 +125,8 @@
                           f'kind = "{box.kind}"', f'zone = "{box.zone}"', f"cell = {box.cell}",
                           f'state = "{box.state}"', f"up_since_ms = {box.up_since_ms:.3f}",
                           f"places = {str(box.settings.places).lower()}"]
+                if box.settings.events:
+                    lines += [f'events = "127.0.0.1:{box.events_port}"', f'replay = "127.0.0.1:{box.replay_port}"']
         with open(self.path("servers.new"), "w") as out:
             out.write("\n".join(lines) + "\n")
         os.replace(self.path("servers.new"), self.path("servers.toml"))
@@ -165,7 +172,7 @@
     word, _, url = ready.partition(" ")
     if word != "ready":
         raise ChildError(f"not a ready line: {ready[:200]}")
-    return int(url.split("//")[-1].split("/")[0].rpartition(":")[2])
+    return int(url.split()[0].split("//")[-1].split("/")[0].rpartition(":")[2])
 
 
 def to_toml(document: dict[str, Any]) -> bytes:
@@ -178,6 +185,8 @@
     boxes = []
     for cell in range(cells):
         for role, kind in (("read", "reader"), ("write", "writer")):
-            settings = EngineSettings(name=f"{kind}{cell}", role=role, journal=journal)  # type: ignore[arg-type]
+            settings = EngineSettings(name=f"{kind}{cell}", role=role, journal=journal,  # type: ignore[arg-type]
+                                      events=role == "read")
             boxes.append(Box(settings, cell, kind))
-    return Fleet(world, {}, boxes, [Dispatcher(number) for number in range(dispatchers)])
+    index = {"block_size": EngineSettings().block_size}
+    return Fleet(world, {"index": index}, boxes, [Dispatcher(number) for number in range(dispatchers)])
--- a/yardspindle/runtime/real.py
+++ b/yardspindle/runtime/real.py
@@ -229,7 +229,12 @@
 
     def run(self, name: str, function: Callable[..., T], *args: Any) -> T:
         """Run a program to its end."""
-        return self.scheduler.run(name, function, *args)
+        try:
+            return self.scheduler.run(name, function, *args)
+        finally:
+            if self._zmq is not None:  # left to the garbage collector it would wait for its open sockets, for ever
+                self._zmq.destroy(linger=0)
+                self._zmq = None
 
     def now_us(self) -> int:
         """See World."""
