Take the choice by least to read out of the policy again; keep the count of what must be read

Choosing, under the bound, the reader with least to read lowered what it was meant to raise: a text that a second reader came to hold kept being read there, so copies lived on and pushed others out. What is told now counts only as tokens that a reader must read.

Guesses gain nothing over the policy's own memory, so the default follows events alone.

--- a/yardspindle/core/config.py
+++ b/yardspindle/core/config.py
@@ -106,9 +106,9 @@
 
 
 class IndexConfig(Struct, forbid_unknown_fields=True, frozen=True):
-    """The prefix index: by events with guesses where there are none, by events alone, by guesses alone, or off."""
+    """The prefix index: by events alone, with guesses where there are none (`auto`), by guesses alone, or off."""
 
-    mode: Literal["auto", "events", "guess", "off"] = "auto"
+    mode: Literal["auto", "events", "guess", "off"] = "events"
     block_size: Annotated[int, Meta(ge=1, le=4_096)] = 16
     max_blocks: Annotated[int, Meta(ge=1)] = 1_000_000
     tokenizer: str = "bytes"
--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -260,9 +260,6 @@
             return None
         ahead = [s.tokens + self._new(r, s) for s in order]
         best = 0 if ahead[0] <= bound else ahead.index(min(ahead))
-        if r.ask.kept and ahead[best] <= bound:
-            # Told what is kept where: a home that forgot would read all anew beside one that has the text.
-            best = min((n for n, a in enumerate(ahead) if a <= bound), key=lambda n: self._new(r, order[n]))
         r.new = self._new(r, order[best])
         return order[best] if not order[best].tokens or ahead[best] <= bound else None
 
