Load a router in the open loop, pair two settings; stop believing a box whose reads belie its events

Changes to the router need the same drawn traffic on two settings. `yardspindle lab load` sends it at its drawn times and keeps latencies from them in HdrHistogram; `lab compare` pairs the requests of two settings and prints the median difference with its spread.

Cache events may be in order and wrong: each box's claims are now judged by what its reads find, told only while they agree, and believed again when they do.

--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,57 @@
+"""The load tool: its drawn traffic, its histograms, and its pairing."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from yardspindle.core.config import ConfigError
+from yardspindle.lab.load import LoadReport, Traffic, load_traffic, paired, plan
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_the_same_seed_draws_the_same_traffic_and_bursts_keep_the_rate() -> None:
+    traffic = Traffic(seed=3, seconds=200, rate_per_s=30, arrivals="bursts")
+    drawn = plan(traffic)
+    assert drawn == plan(traffic) != plan(Traffic(seed=4, seconds=200, rate_per_s=30, arrivals="bursts"))
+    assert len(drawn) == pytest.approx(6_000, rel=0.1)
+    in_bursts = sum(1 for one in drawn if one.at_us % 5_000_000 < 1_000_000)
+    assert in_bursts / len(drawn) == pytest.approx(0.5, abs=0.05)
+    openings = [one.messages[0][1].split(":")[0] for one in drawn]
+    assert openings.count("0") > 5 * openings.count("40")
+    assert any(len(one.messages) > 5 for one in drawn) and any(len(one.messages) == 2 for one in drawn)
+
+
+def test_pairs_are_compared_request_by_request() -> None:
+    a, b = LoadReport(), LoadReport()
+    a.first_us = {n: 10_000 + 100 * n for n in range(100)}
+    b.first_us = {n: 12_000 + 100 * n for n in range(90)}
+    text = paired(a, b, 1)
+    assert "median +2.00 ms (95 % of resamples +2.00 to +2.00), 90 pairs; answered only by A 10" in text
+    assert paired(LoadReport(), b, 1) == "no request was answered in both"
+
+
+def test_a_traffic_file_is_checked(tmp_path: Path) -> None:
+    file = tmp_path / "t.toml"
+    file.write_text("seed = 1\nseconds = 1\nrate_per_s = 1\narrivals = 'bursts'\nburst_s = 9")
+    with pytest.raises(ConfigError, match="burst_s: not under burst_every_s"):
+        load_traffic(str(file))
+
+
+def test_two_settings_are_compared_on_the_same_traffic(tmp_path: Path) -> None:
+    traffic = tmp_path / "t.toml"
+    traffic.write_text("seed = 1\nseconds = 1.5\nrate_per_s = 30\n")
+    for name, mode in (("a", "off"), ("b", "events")):
+        (tmp_path / f"{name}.toml").write_text(f'[index]\nmode = "{mode}"\nblock_size = 64\n')
+    files = [str(traffic), str(tmp_path / "a.toml"), str(tmp_path / "b.toml")]
+    done = subprocess.run([sys.executable, "-m", "yardspindle", "lab", "compare", *files], cwd=ROOT,
+                          capture_output=True, text=True, timeout=90, check=False)
+    assert done.returncode == 0, done.stderr
+    assert done.stdout.count("first token, ms: p50") == 2 and "pairs" in done.stdout.splitlines()[-1]
+    away = subprocess.run([sys.executable, "-m", "yardspindle", "lab", "load", str(traffic), "--at", "10.0.0.1:80"],
+                          cwd=ROOT, capture_output=True, text=True, timeout=60, check=False)
+    assert away.returncode == 2 and "not an address of this machine's loopback" in away.stderr
--- a/tests/test_prefix.py
+++ b/tests/test_prefix.py
@@ -373,6 +373,28 @@
     assert not knowledge.feeds and knowledge.index.held_by("a") == 0
 
 
+def test_a_box_whose_claims_its_reads_belie_is_not_believed_until_they_agree() -> None:
+    knowledge = PrefixKnowledge(ByteTokenizer(), SIZE, 10_000, guessing=False)
+    blocks = knowledge.blocks([("user", b"x" * 400)], b"")
+    knowledge.listed(["liar", "hider", "honest"])
+    stored = [BlockStored(list(range(1, 103)), None, list(b"<|user|>" + b"x" * 400), SIZE)]
+    for box, told in (("liar", stored), ("hider", []), ("honest", stored)):
+        knowledge.batch(0, box, 0, Batch(1.0, list(told)))
+    found = {"liar": 0, "hider": 408, "honest": 400}
+    for _ in range(10):
+        claims = knowledge.claimed(0, blocks, 408.0)
+        for box, cached in found.items():
+            knowledge.read(box, blocks, 408, cached, None, claims[box])
+    assert set(knowledge.kept(0, blocks, found, 408.0)) == {"honest"}
+    for _ in range(20):
+        knowledge.read("liar", blocks, 408, 400, None, knowledge.claimed(0, blocks, 408.0)["liar"])
+    assert set(knowledge.kept(0, blocks, found, 408.0)) == {"honest", "liar"}
+    knowledge.restarted("hider")
+    assert knowledge.claims.believed("hider")
+    knowledge.read("liar", blocks, 40, 0, None, 40.0)
+    assert knowledge.claims.agreement("liar") > 0.9, "too little to judge by"
+
+
 def test_a_models_own_tokenizer_and_template() -> None:
     import tokenizers
     made = tokenizers.Tokenizer(tokenizers.models.WordLevel({"hi": 1, "you": 2, "user": 3, "?": 0}, unk_token="?"))
--- a/yardspindle/cli/lab.py
+++ b/yardspindle/cli/lab.py
@@ -1,14 +1,18 @@
-"""`yardspindle lab day FILE`: plays a scripted bad day on loopback and audits it."""
+"""`yardspindle lab`: scripted bad days with their audit, open-loop load, and comparisons of two settings."""
 
 from __future__ import annotations
 
 import sys
+import tomllib
+from typing import Any
 
 import click
 
-from yardspindle.cli.common import Failure, set_up_logs
-from yardspindle.core.config import ConfigError, LogConfig
+from yardspindle.cli.common import Failure, load, set_up_logs
+from yardspindle.core.config import ConfigError, LogConfig, split_address
 from yardspindle.lab.day import DayRun, load_day
+from yardspindle.lab.fleet import small_fleet
+from yardspindle.lab.load import LoadReport, Traffic, load_traffic, paired, run_load
 from yardspindle.runtime.process import ChildError
 from yardspindle.runtime.real import RealWorld
 
@@ -39,3 +43,63 @@
         raise Failure(str(error)) from None
     click.echo(report.text())
     sys.exit(1 if report.breaks else 0)
+
+
+@lab_group.command("load")
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--at", "address", help="Edge on loopback, HOST:PORT; else a small fleet is started.")
+def load_command(file: str, address: str | None) -> None:
+    """Send drawn traffic, open loop, and print latencies from the intended send time."""
+    traffic = _traffic(file)
+    click.echo(_play(traffic, {}, address).text())
+
+
+@lab_group.command("compare")
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.argument("a", type=click.Path(dir_okay=False))
+@click.argument("b", type=click.Path(dir_okay=False))
+def compare_command(file: str, a: str, b: str) -> None:
+    """Play the same traffic on two settings, A and B (TOML laid over the small fleet's), and pair the requests."""
+    traffic = _traffic(file)
+    reports = []
+    for name, path in (("A", a), ("B", b)):
+        load(path)  # one clear line for a bad file, before anything starts
+        with open(path, "rb") as source:
+            report = _play(traffic, tomllib.load(source), None)
+        click.echo(f"{name} ({path})\n{report.text()}")
+        reports.append(report)
+    click.echo(paired(reports[0], reports[1], traffic.seed))
+
+
+def _traffic(file: str) -> Traffic:
+    set_up_logs(LogConfig(format="console", level="warning"))
+    try:
+        return load_traffic(file)
+    except OSError as error:
+        raise Failure(f"{file}: {error.strerror}") from None
+    except ConfigError as error:
+        raise Failure(str(error)) from None
+
+
+def _play(traffic: Traffic, settings: dict[str, Any], address: str | None) -> LoadReport:
+    if address is not None and not address.startswith(("127.", "[::1]")):
+        raise Failure(f"--at: {address}: not an address of this machine's loopback")
+    world = RealWorld(traffic.seed)
+    fleet = small_fleet(world) if address is None else None
+
+    def program() -> LoadReport:
+        if fleet is None:
+            assert address is not None
+            return run_load(world, traffic, [split_address(address)], "yardspindle-demo")
+        fleet.config = {**fleet.config, **settings}
+        try:
+            fleet.start()
+            return run_load(world, traffic, [("127.0.0.1", d.port) for d in fleet.dispatchers],
+                            fleet.config.get("model", "yardspindle-demo"))
+        except ChildError as error:
+            raise Failure(str(error)) from None
+        finally:
+            fleet.stop()
+            fleet.remove_files()
+
+    return world.run("load", program)
--- a/yardspindle/core/prefix_knowledge.py
+++ b/yardspindle/core/prefix_knowledge.py
@@ -12,6 +12,7 @@
 
 from yardspindle.core.blocks import TOKEN_BYTES, chain
 from yardspindle.core.cache_feed import SURE_LEAST, Batch, CacheFeed
+from yardspindle.core.claims import Claims
 from yardspindle.core.prefix_guess import PrefixGuess
 from yardspindle.core.prefix_index import PrefixIndex
 from yardspindle.core.tokens import Messages, Tokenizer
@@ -46,6 +47,7 @@
     index: PrefixIndex = field(init=False)
     guess: PrefixGuess = field(init=False)
     feeds: dict[str, CacheFeed] = field(default_factory=dict)
+    claims: Claims = field(default_factory=Claims)
     ignored: int = 0  # batches for boxes that are not on the list
     score: Score = field(default_factory=Score)
 
@@ -64,6 +66,7 @@
         wanted = set(publishing) if self.following else set()
         for box in [box for box in self.feeds if box not in wanted]:
             self.index.clear(box)
+            self.claims.forget(box)
             del self.feeds[box]
         for box in sorted(wanted):
             if box not in self.feeds:
@@ -95,28 +98,44 @@
     def restarted(self, box: str) -> None:
         """The list says that a box started anew: it holds nothing."""
         self.guess.forget(box)
+        self.claims.forget(box)
         if (feed := self.feeds.get(box)) is not None:
             feed.restarted()
 
-    def kept(self, now_us: int, blocks: Blocks, boxes: Iterable[str], prompt_tokens: float) -> dict[str, float]:
-        """Of `prompt_tokens`, those that each box is known to hold; boxes of which nothing is known are left out."""
+    def claimed(self, now_us: int, blocks: Blocks, prompt_tokens: float) -> dict[str, float]:
+        """Of `prompt_tokens`, those that each box's own events say it holds, as far as these are in order."""
         if not blocks.hashes:
             return {}
         found = self.index.match(blocks.hashes)
         of_block = self.block_size / blocks.tokens * prompt_tokens
+        claims: dict[str, float] = {}
+        for box, feed in self.feeds.items():
+            trust = feed.trust(now_us)
+            if trust >= SURE_LEAST:
+                claims[box] = found.get(box, 0) * of_block * trust
+        return claims
+
+    def told(self, claims: dict[str, float], blocks: Blocks, boxes: Iterable[str],
+             prompt_tokens: float) -> dict[str, float]:
+        """What the policy is told: claims of boxes that are believed, else our guess; unknown boxes are left out."""
         told: dict[str, float] = {}
         for box in boxes:
-            feed = self.feeds.get(box)
-            trust = feed.trust(now_us) if feed is not None else 0.0
-            if trust >= SURE_LEAST:
-                told[box] = found.get(box, 0) * of_block * trust
-            elif self.guessing:
+            if box in claims and self.claims.believed(box):
+                told[box] = claims[box]
+            elif self.guessing and blocks.hashes:
+                of_block = self.block_size / blocks.tokens * prompt_tokens
                 told[box] = self.guess.longest(box, blocks.hashes) * of_block
         return told
 
+    def kept(self, now_us: int, blocks: Blocks, boxes: Iterable[str], prompt_tokens: float) -> dict[str, float]:
+        """Claims and what is told of them in one."""
+        return self.told(self.claimed(now_us, blocks, prompt_tokens), blocks, boxes, prompt_tokens)
+
     def read(self, box: str, blocks: Blocks, prompt_tokens: int, cached_tokens: int | None,
-             told: float | None) -> None:
-        """A read ended at a box, as the engine counted it; `told` is what the policy had been told of it."""
+             told: float | None, claimed: float | None = None) -> None:
+        """A read ended at a box, as the engine counted it; `told` to the policy and `claimed` by the box before it."""
+        if claimed is not None and cached_tokens is not None:
+            self.claims.judge(box, claimed, cached_tokens)
         if self.guessing:
             part = blocks.tokens / max(prompt_tokens, 1)  # engine's tokens as ours
             cached = None if cached_tokens is None else round(cached_tokens * part)
--- a/yardspindle/edge/app.py
+++ b/yardspindle/edge/app.py
@@ -202,26 +202,30 @@
         except IntakeError as error:
             raise ApiError(400, "invalid_value", str(error), error.param) from None
         blocks = Blocks()
+        claims: dict[str, float] = {}
         if self.knowledge is not None:
-            taken, blocks = self._know(now, self.knowledge, taken, asked.said)
+            taken, blocks, claims = self._know(now, self.knowledge, taken, asked.said)
         request_id = f"req-{self._unique}-{self._numbers}"
         head = b""
         if asked.stream:
             head = exchange.start(200, [*STREAM_HEADERS, (b"x-request-id", request_id.encode())])
         return Running(taken, request_id, asked.fields, exchange, head, asked.stream,
                        AnswerState(asked.usage_wanted or not asked.stream),
-                       None if asked.stream else Collected(), now, self.world.signal(), blocks=blocks)
+                       None if asked.stream else Collected(), now, self.world.signal(), blocks=blocks, claims=claims)
 
-    def _know(self, now: int, knowledge: PrefixKnowledge, taken: Taken, said: Said) -> tuple[Taken, Blocks]:
-        """The request with what readers are known to keep of its prompt."""
+    def _know(self, now: int, knowledge: PrefixKnowledge, taken: Taken,
+              said: Said) -> tuple[Taken, Blocks, dict[str, float]]:
+        """The request with what readers are known to keep of its prompt, and what they claim."""
         blocks = knowledge.blocks(said.messages, said.tools)
         readers = {s.name: s.number for s in self.core.life.directory.servers.values()
                    if s.role is not i.Role.WRITE and s.closed_us is None}
-        kept = knowledge.kept(now, blocks, readers, taken.request.prompt_tokens)
+        tokens = taken.request.prompt_tokens
+        claims = knowledge.claimed(now, blocks, tokens)
+        kept = knowledge.told(claims, blocks, readers, tokens)
         if not kept:
-            return taken, blocks
-        told = {readers[name]: tokens for name, tokens in kept.items()}
-        return replace(taken, request=replace(taken.request, kept=told)), blocks
+            return taken, blocks, claims
+        told = {readers[name]: count for name, count in kept.items()}
+        return replace(taken, request=replace(taken.request, kept=told)), blocks, claims
 
     def _gone(self, run: Running) -> None:
         if run.answer is None:
--- a/yardspindle/edge/executor.py
+++ b/yardspindle/edge/executor.py
@@ -53,6 +53,7 @@
     client_error: tuple[int, bytes] | None = None
     attempts: dict[int, Task] = field(default_factory=dict)
     blocks: Blocks = Blocks()
+    claims: dict[str, float] = field(default_factory=dict)
     first_us: int = 0
     reading_since_us: int = 0  # since when the writer's next event is awaited
 
@@ -131,7 +132,7 @@
             if ended.status is i.Status.READ and self._knowledge is not None:
                 told = (run.taken.request.kept or {}).get(command.server.number)
                 self._knowledge.read(command.server.name, run.blocks, ended.usage.prompt_tokens,
-                                     ended.usage.cached, told)
+                                     ended.usage.cached, told, run.claims.get(command.server.name))
         self.perform(self._core.attempt_ended(
             self._world.now_us(), command.request, command.attempt, ended.status, ended.note, ended.state))
 
--- /dev/null
+++ b/yardspindle/lab/load.py
@@ -0,0 +1,192 @@
+"""An open-loop load: drawn arrivals, sessions with turns, shared texts with a Zipf tail, times from the intended send.
+
+Open loop: a request is sent when it was drawn to be, whether or not earlier ones are answered; a late start counts
+into its latency, so that a stalled router cannot hide its stall. The same file and seed draw the same traffic, which
+makes two runs comparable request by request.
+"""
+
+from __future__ import annotations
+
+import random
+import statistics
+from dataclasses import dataclass, field
+from typing import Annotated, Any, Literal
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+from msgspec import Meta, Struct
+
+from yardspindle.core.config import ConfigError, decode_toml
+from yardspindle.engine.http_client import ConnectError, ExchangeBroken, HttpClient
+from yardspindle.protocol.sse import SseParser
+from yardspindle.runtime.scheduler import DeadlineExceeded
+from yardspindle.runtime.world import World
+
+Positive = Annotated[float, Meta(gt=0)]
+MOST_US = 120_000_000
+WORDS = ("oil", "price", "tank", "order", "depot", "driver", "morning", "litre", "invoice", "street", "confirm",
+         "today")
+BOOTSTRAPS = 500
+
+
+class Traffic(Struct, forbid_unknown_fields=True, frozen=True):
+    """What is sent."""
+
+    seed: int
+    seconds: Annotated[float, Meta(gt=0, le=3_600)]
+    rate_per_s: Annotated[float, Meta(gt=0, le=2_000)]
+    arrivals: Literal["poisson", "bursts"] = "poisson"
+    burst_times: Positive = 4.0  # the rate in a burst
+    burst_s: Positive = 1.0
+    burst_every_s: Positive = 5.0
+    openings: Annotated[int, Meta(ge=1)] = 50
+    zipf: Positive = 1.1
+    opening_words: Annotated[int, Meta(ge=0)] = 300
+    turn_words: Annotated[int, Meta(ge=1)] = 40
+    turns: Annotated[float, Meta(ge=1)] = 2.5
+    answer_tokens: Annotated[int, Meta(ge=1)] = 16
+    cls: str = "chat"
+    timeout_ms: Positive = 10_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Planned:
+    """A request as drawn; `at_us` after the start."""
+
+    at_us: int
+    messages: tuple[tuple[str, str], ...]
+
+
+@dataclass(slots=True)
+class LoadReport:
+    """What came of a run; times in microseconds from the intended send."""
+
+    outcomes: dict[str, int] = field(default_factory=dict)
+    first: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, MOST_US, 3))
+    whole: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, MOST_US, 3))
+    first_us: dict[int, int] = field(default_factory=dict)
+    prompt_tokens: int = 0
+
+    def text(self) -> str:
+        """For people, in milliseconds."""
+        rows = [", ".join(f"{name} {count}" for name, count in sorted(self.outcomes.items()))
+                + f"; prompt tokens {self.prompt_tokens}"]
+        for name, histogram in (("first token", self.first), ("whole answer", self.whole)):
+            values = ", ".join(f"p{at:g} {histogram.get_value_at_percentile(at) / 1_000:.1f}"
+                               for at in (50, 90, 99, 99.9))
+            rows.append(f"{name}, ms: {values}")
+        return "\n".join(rows)
+
+
+def load_traffic(path: str) -> Traffic:
+    """Read a traffic file. Raises ConfigError and OSError."""
+    with open(path, "rb") as file:
+        traffic = decode_toml(path, file.read(), Traffic)
+    if traffic.arrivals == "bursts" and traffic.burst_s >= traffic.burst_every_s:
+        raise ConfigError(f"{path}: burst_s: not under burst_every_s ({traffic.burst_every_s:g})")
+    return traffic
+
+
+def plan(traffic: Traffic) -> list[Planned]:
+    """All requests of a run, by their times."""
+    rng = random.Random(traffic.seed)
+    weights = [1 / (rank + 1) ** traffic.zipf for rank in range(traffic.openings)]
+    open_sessions: list[list[tuple[str, str]]] = []
+    planned: list[Planned] = []
+    at = 0.0
+    while (at := at + rng.expovariate(_rate(traffic, at))) < traffic.seconds:
+        if open_sessions and rng.random() < 1 - 1 / traffic.turns:
+            session = rng.choice(open_sessions)
+            session.append(("assistant", _words(rng, traffic.answer_tokens)))
+        else:
+            opening = rng.choices(range(traffic.openings), weights)[0]
+            text = _words(random.Random(f"{traffic.seed} {opening}"), traffic.opening_words)
+            session = [("system", f"{opening}: {text}")] if traffic.opening_words else []
+            open_sessions.append(session)
+            open_sessions = open_sessions[-200:]
+        session.append(("user", _words(rng, traffic.turn_words)))
+        planned.append(Planned(int(at * 1e6), tuple(session)))
+    return planned
+
+
+def _rate(traffic: Traffic, at: float) -> float:
+    if traffic.arrivals == "poisson":
+        return traffic.rate_per_s
+    part = traffic.burst_s / traffic.burst_every_s  # the mean stays the stated rate
+    calm = traffic.rate_per_s / (1 - part + part * traffic.burst_times)
+    return calm * (traffic.burst_times if at % traffic.burst_every_s < traffic.burst_s else 1.0)
+
+
+def _words(rng: random.Random, count: int) -> str:
+    return " ".join(rng.choices(WORDS, k=max(count, 1)))
+
+
+def run_load(world: World, traffic: Traffic, edges: list[tuple[str, int]], model: str) -> LoadReport:
+    """Send the traffic and wait for the last answer; bounded by its length and time-out."""
+    report, http = LoadReport(), HttpClient(world, 1_000_000, 4_000_000)
+    start = world.now_us()
+
+    def one(number: int, planned: Planned) -> None:
+        intended = start + planned.at_us
+        outcome = "timed out"
+        try:
+            with world.deadline(intended + int(traffic.timeout_ms * 1_000)):
+                edge = edges[number % len(edges)]
+                outcome = _ask(world, http, traffic, edge, model, planned, number, intended, report)
+        except DeadlineExceeded:
+            pass
+        except ConnectError:
+            outcome = "unreachable"
+        except ExchangeBroken:
+            outcome = "broken"
+        report.outcomes[outcome] = report.outcomes.get(outcome, 0) + 1
+
+    tasks = []
+    for number, planned in enumerate(plan(traffic)):
+        world.sleep_until(start + planned.at_us)
+        tasks.append(world.spawn("request", one, number, planned))
+    for task in tasks:
+        task.join()
+    return report
+
+
+def _ask(world: World, http: HttpClient, traffic: Traffic, edge: tuple[str, int], model: str, planned: Planned,
+         number: int, intended: int, report: LoadReport) -> str:
+    body = msgspec.json.encode({
+        "model": model, "stream": True, "stream_options": {"include_usage": True}, "max_tokens": traffic.answer_tokens,
+        "messages": [{"role": role, "content": text} for role, text in planned.messages],
+        "metadata": {"class": traffic.cls}})
+    response = http.request(*edge, b"POST", b"/v1/chat/completions", [(b"content-type", b"application/json")], body)
+    parser, outcome = SseParser(), "broken"
+    try:
+        if response.head.status != 200:
+            response.read_all()
+            return f"HTTP {response.head.status}"
+        while (piece := response.read()) is not None:
+            for event in parser.feed(piece):
+                if number not in report.first_us:
+                    report.first_us[number] = world.now_us() - intended
+                    report.first.record_value(report.first_us[number])
+                if event.data == b"[DONE]":
+                    outcome = "served"
+                    report.whole.record_value(world.now_us() - intended)
+                elif b'"usage":{' in event.data:
+                    usage: Any = msgspec.json.decode(event.data)["usage"]
+                    report.prompt_tokens += usage["prompt_tokens"]
+        return outcome
+    finally:
+        response.close()
+
+
+def paired(first: LoadReport, second: LoadReport, seed: int) -> str:
+    """The same traffic on two settings: the median difference of each request's first token, and its spread."""
+    both = sorted(first.first_us.keys() & second.first_us.keys())
+    if not both:
+        return "no request was answered in both"
+    differences = [(second.first_us[n] - first.first_us[n]) / 1_000 for n in both]
+    rng = random.Random(seed)
+    medians = sorted(statistics.median(rng.choices(differences, k=len(differences))) for _ in range(BOOTSTRAPS))
+    low, high = medians[int(0.025 * BOOTSTRAPS)], medians[int(0.975 * BOOTSTRAPS)]
+    return (f"first token, B - A: median {statistics.median(differences):+.2f} ms (95 % of resamples {low:+.2f} to "
+            f"{high:+.2f}), {len(both)} pairs; answered only by A {len(first.first_us) - len(both)}, "
+            f"only by B {len(second.first_us) - len(both)}")
