--- a/tests/test_prefix_path.py
+++ b/tests/test_prefix_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import urllib.request
 from pathlib import Path
 from typing import Any
 
@@ -119,6 +120,9 @@
             assert knowledge.index.held_by(engine.set.name) == len(blocks)
             assert all(knowledge.index.longest(engine.set.name, [block]) == 1 for block in blocks)
         assert knowledge.score.found > 0.9 * knowledge.score.told > 0
+        page = urllib.request.urlopen(fleet.url.replace("/v1", "/metrics")).read().decode()
+        assert f"yardspindle_index_blocks {float(len(knowledge.index))}" in page
+        assert 'yardspindle_index_trust{server="r0"} ' in page
         fleet.call(lambda: fleet.engines[0].cache.clear())
         fleet.until(lambda: knowledge.index.held_by("r0") == 0)
 
--- a/yardspindle/edge/app.py
+++ b/yardspindle/edge/app.py
@@ -151,6 +151,8 @@
         if path == b"/metrics":
             self.metrics.open_requests.set(len(self.core.life.open))
             self.metrics.connections.set(self._server.connections if self._server else 0)
+            if self.knowledge is not None:
+                self._index_metrics(self.knowledge)
             return Reply(200, [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")],
                          self.metrics.text())
         if path == b"/healthz":
@@ -164,6 +166,15 @@
             raise ApiError(404, "model_not_found", "There is no such model.", "model")
         return Reply(200, [JSON], msgspec.json.encode(model))
 
+    def _index_metrics(self, knowledge: PrefixKnowledge) -> None:
+        metrics, now = self.metrics, self.world.now_us()
+        metrics.index_blocks.set(len(knowledge.index))
+        metrics.index_told.set(knowledge.score.told)
+        metrics.index_found.set(knowledge.score.found)
+        metrics.index_trust.clear()
+        for name, feed in knowledge.feeds.items():
+            metrics.index_trust.labels(name).set(feed.trust(now) * knowledge.claims.agreement(name))
+
     def malformed(self, error: http1.ProtocolError) -> Reply:
         """See Handler."""
         return Reply(error.status, [JSON], error_body("malformed_request", error.reason, "invalid_request_error"))
--- a/yardspindle/edge/metrics.py
+++ b/yardspindle/edge/metrics.py
@@ -30,6 +30,13 @@
                                   registry=self.registry)
         self.broken = Counter("yardspindle_broken_rules", "Rules that the watch found broken", ("rule",),
                               registry=self.registry)
+        self.index_blocks = Gauge("yardspindle_index_blocks", "Blocks in the prefix index", registry=self.registry)
+        self.index_told = Gauge("yardspindle_index_told_tokens", "Kept tokens that reads had been told of, in all",
+                                registry=self.registry)
+        self.index_found = Gauge("yardspindle_index_found_tokens", "Of those, found by the reads",
+                                 registry=self.registry)
+        self.index_trust = Gauge("yardspindle_index_trust", "Trust in a reader's cache events, 0 to 1", ("server",),
+                                 registry=self.registry)
         self.planner_up = Gauge("yardspindle_planner_up", "Whether a planner decides", registry=self.registry)
         self.open_requests = Gauge("yardspindle_open_requests", "Requests taken and not done with",
                                    registry=self.registry)
