--- a/tests/test_prefix.py
+++ b/tests/test_prefix.py
@@ -348,6 +348,16 @@
     assert [guess.longest("a", hashes) for hashes in prompts[:3]] == [0, 10, 0]
 
 
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.tuples(boxes, st.lists(st.integers(1, 10**6), min_size=1, max_size=30)), max_size=60),
+       st.integers(1, 50))
+def test_guesses_are_bounded_in_all(reads: list[tuple[str, list[int]]], most: int) -> None:
+    guess = PrefixGuess(SIZE, most)
+    for box, hashes in reads:
+        guess.read(box, hashes, len(hashes) * SIZE, None)
+        assert sum(len(known.stamps) for known in guess._boxes.values()) <= most
+
+
 # --- knowledge
 
 def test_events_count_while_they_are_trusted_and_guesses_after() -> None:
--- a/yardspindle/core/prefix_guess.py
+++ b/yardspindle/core/prefix_guess.py
@@ -27,7 +27,7 @@
 
 
 class PrefixGuess:
-    """Guesses for all boxes; the oldest blocks of a box are forgotten past `most_blocks` each."""
+    """Guesses for all boxes, at most `most_blocks` of them in all; past it the fullest box's oldest are forgotten."""
 
     def __init__(self, block_size: int, most_blocks: int) -> None:
         """`block_size` in tokens."""
@@ -58,8 +58,13 @@
         for block in hashes:
             known.stamps.pop(block, None)
             known.stamps[block] = known.volume
-        while len(known.stamps) > self._most:
-            del known.stamps[next(iter(known.stamps))]
+        held = sum(len(box.stamps) for box in self._boxes.values())
+        while held > self._most:  # the fullest box gives its oldest down to its even part, or what is over
+            fullest = max(self._boxes.values(), key=lambda box: len(box.stamps))
+            over = min(held - self._most, max(len(fullest.stamps) - self._most // len(self._boxes), 1))
+            for block in [block for block, _ in zip(fullest.stamps, range(over), strict=False)]:
+                del fullest.stamps[block]
+            held -= over
 
     def forget(self, box: str) -> None:
         """The box started anew."""
