Let go of a place whose write may never have reached its writer

A write that ends without the writer's word (called off, not connected, reset, timed out) now lets go of its place; the watch keeps such a place in its record and finds the fault when it is planted.

--- a/tests/test_edge_core.py
+++ b/tests/test_edge_core.py
@@ -19,6 +19,7 @@
 from yardspindle.core.directory import Server
 from yardspindle.core.edge_core import EdgeCore
 from yardspindle.core.lifecycle import EdgeRules
+from yardspindle.core.releases import Thing
 
 RULES = EdgeRules(
     effects={"safe": i.Effect.SAFE, "once": i.Effect.UNSAFE, "keyed": i.Effect.KEYED}, release_us=300_000,
@@ -193,6 +194,23 @@
     assert [r.owed.server.number for r in of(c.Release, out)] == [WRITER2]
 
 
+@pytest.mark.parametrize(("status", "released"), [
+    (None, True), (i.Status.CONNECT_FAILED, True), (i.Status.RESET, True), (i.Status.TIMEOUT, True),
+    (i.Status.FULL, False), (i.Status.SERVED, False)])
+def test_a_place_whose_write_may_never_have_come_is_let_go(status: i.Status | None, released: bool) -> None:
+    """Seed 191 of the virtual days: the client left before its write was on the wire, and the place lapsed."""
+    core = started()
+    core.arrive(0, ask())
+    core.act(0, 7, i.Send(1, READER))
+    place = of(c.AskPlace, core.act(0, 7, i.Ahead(1, WRITER)))[0]
+    core.place_answered(5, 1, place.place, place.server, True)
+    core.attempt_ended(10, 1, 0, i.Status.READ, state={"x": 1})
+    assert of(c.Write, core.act(10, 7, i.Send(1, WRITER)))[0].place == place.place
+    out = core.client_left(20, 1) if status is None else core.attempt_ended(20, 1, 1, status)
+    places = [r.owed for r in of(c.Release, out) if r.owed.thing is Thing.PLACE]
+    assert [(owed.part, owed.server.number) for owed in places] == [(place.place, WRITER)] * released
+
+
 # --- anything at all
 
 steps = st.one_of(
@@ -366,6 +384,13 @@
     held = [("arrive", "safe", 400), ("send", 0, READER), ("end", 0, i.Status.READ), ("wait", 199, 0)] * 1
     assert "nothing left pinned" in fault(no_ticks, [*held, ("wait", 199, 0)])
 
+    def never_untaken(patch: pytest.MonkeyPatch) -> None:
+        patch.setattr(lifecycle.Lifecycle, "_untaken", lambda self, r, out: None)
+
+    placed = [("arrive", "safe", 400), ("send", 0, READER), ("ahead", 0, WRITER), ("place", 0, True),
+              ("end", 0, i.Status.READ), ("send", 0, WRITER), ("end", 0, i.Status.RESET), ("wait", 199, 0)]
+    assert fault(never_untaken, [*placed, ("wait", 199, 0)]) == {"nothing left pinned"}
+
     def answers_twice(patch: pytest.MonkeyPatch) -> None:
         def answer(self: Any, now: int, r: Any, final: c.Final, code: str, retry: int = 0) -> None:
             r.final = None
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -128,7 +128,7 @@
     assert play(1)[0] == first != play(2)[0]
 
 
-@pytest.mark.parametrize("seed", range(12))
+@pytest.mark.parametrize("seed", [*range(12), 191])  # 191: a place whose write never came lapsed
 def test_days_of_trouble_break_no_rule_and_leave_nothing(seed: int) -> None:
     trace, _, breaks = play(seed, troubled=True)
     assert breaks == []
--- a/yardspindle/core/lifecycle.py
+++ b/yardspindle/core/lifecycle.py
@@ -47,6 +47,7 @@
     number: int
     server: Server
     sent_us: int
+    place: int | None = None  # that a write is to take
 
 
 @dataclass(slots=True)
@@ -213,7 +214,7 @@
         if place is not None and place.server is not server:
             self._release_place(r)
         r.place = None
-        held = place.number if place is not None and place.server is server else None
+        held = r.out.place = place.number if place is not None and place.server is server else None
         self._commands.append(c.Write(send.request, number, server, until_us, r.state, held))
 
     def _hindrance(self, now_us: int, r: Open, number: int) -> tuple[str | None, Server | None]:
@@ -315,6 +316,8 @@
             self._commands.append(c.ReleaseState(request, number, out.server))
         elif note == 1:
             self._release_state(r)
+        if status not in (i.Status.SERVED, i.Status.FULL) and not r.streaming:
+            self._untaken(r, out)
         if r.streaming or status is i.Status.SERVED:
             served = status is i.Status.SERVED
             self._final(r, c.Final.SERVED if served else c.Final.FAILED, "served" if served else "stream_broken")
@@ -386,11 +389,18 @@
         r.out, r.idle_since_us = None, now_us
         r.ran = r.ran or may_have_run(out.server.role, i.Status.CANCELLED)
         self._commands.append(c.Abort(r.ask.request, out.number))
+        if not r.streaming:
+            self._untaken(r, out)
         if out.server.role is i.Role.READ:
             self._commands.append(c.ReleaseState(r.ask.request, out.number, out.server))
         self._tell(r, i.Outcome(r.ask.request, out.number, out.server.number, i.Status.CANCELLED,
                                 now_us - out.sent_us, r.final is not None))
 
+    def _untaken(self, r: Open, out: Attempt) -> None:
+        """A write ended without the writer's word that it had come: its place may still be held there."""
+        if out.place is not None:
+            self._commands.append(c.ReleasePlace(r.ask.request, out.place, out.server))
+
     def _forget_if_done(self, r: Open) -> None:
         if r.final is not None and r.out is None:
             self.open.pop(r.ask.request, None)
--- a/yardspindle/core/rules.py
+++ b/yardspindle/core/rules.py
@@ -33,6 +33,7 @@
     left: bool = False
     state: tuple[int, str] | None = None  # the read's attempt, server
     places: dict[int, str] = field(default_factory=dict)
+    riding: dict[int, tuple[int, str]] = field(default_factory=dict)  # by write: the place it is to take
     idle_since_us: int = 0
 
     @property
@@ -90,6 +91,8 @@
             return
         write, server = known.out.pop(attempt)
         known.idle_since_us = now_us
+        if status not in (i.Status.SERVED, i.Status.FULL):
+            self._untaken(known, attempt)
         if write and status not in PROVES_NOT_RUN:
             known.ran = True
         if status is i.Status.READ:
@@ -117,6 +120,7 @@
                 known = self._known(request)
                 if known is not None and attempt in known.out:
                     write, _ = known.out.pop(attempt)
+                    self._untaken(known, attempt)
                     known.ran = known.ran or write
                     known.idle_since_us = now_us
                     self._forget(request, known)
@@ -149,6 +153,7 @@
         known.out[command.attempt] = write, command.server.name
         if isinstance(command, c.Write) and command.place is not None:
             known.places.pop(command.place, None)
+            known.riding[command.attempt] = command.place, command.server.name
         return True
 
     def _answer(self, now_us: int, answer: c.Answer) -> bool:
@@ -180,6 +185,12 @@
                 known.state = None
                 known.places.clear()
 
+    def _untaken(self, known: Watched, attempt: int) -> None:
+        """Without the writer's word a write's place may still be held."""
+        if not known.streaming and attempt in known.riding:
+            place, server = known.riding.pop(attempt)
+            known.places[place] = server
+
     def _broken(self, rule: str, request: int, text: str) -> bool:
         self.breaks.append(Break(rule, request, text))
         return False
