Count prompts in whole tokens: fractions left over made an idle reader look busy

The policy adds and subtracts a prompt's tokens at its reader; the estimate gave fractions, whose sums left -7e-13 tokens there, so that the reader counted as busy, and under a low bound nothing was sent to it. Estimates and what is told as kept are now whole, as the bench's counts are; the policy is unchanged.

--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -158,6 +158,14 @@
     assert intake.take(0, 7, split).request.prefix != plain.prefix
 
 
+def test_sizes_are_whole_tokens_so_that_sums_leave_nothing_over() -> None:
+    intake = Intake(DEFAULT)
+    intake.estimate.learn("t chat", 30_000, 10_007)
+    for size in range(2_001, 2_040):
+        request = intake.take(0, 1, said(size=size)).request
+        assert request.prompt_tokens.is_integer() and request.prefix_tokens.is_integer()
+
+
 def test_deadlines_only_ever_get_earlier() -> None:
     intake = Intake(DEFAULT)
     margin = 80_000
--- a/yardspindle/core/intake.py
+++ b/yardspindle/core/intake.py
@@ -88,9 +88,10 @@
         if cls is None:
             raise IntakeError("metadata.class", f"no such class; there are {', '.join(self._classes)}")
         kind = f"{said.tenant or ''} {cls.name}"
-        tokens = self.estimate.tokens(kind, said.size)
+        # Whole tokens: the policy adds and subtracts them, and what fractions leave over makes an idle reader busy.
+        tokens = float(round(self.estimate.tokens(kind, said.size)))
         opening_size = sum(len(part) for part in said.opening)
-        opening_tokens = min(self.estimate.tokens(kind, opening_size), tokens) if opening_size else 0.0
+        opening_tokens = min(float(round(self.estimate.tokens(kind, opening_size))), tokens) if opening_size else 0.0
         prefix = self._opening(said, opening_tokens)
         limit_ms = cls.give_up_ms
         if said.whole:  # the class's time is to the first token; a whole answer is seen after the last
--- a/yardspindle/edge/app.py
+++ b/yardspindle/edge/app.py
@@ -235,7 +235,7 @@
         kept = knowledge.told(claims, blocks, readers, tokens)
         if not kept:
             return taken, blocks, claims
-        told = {readers[name]: count for name, count in kept.items()}
+        told = {readers[name]: float(round(count)) for name, count in kept.items()}  # whole, as in Intake
         return replace(taken, request=replace(taken.request, kept=told)), blocks, claims
 
     def _gone(self, run: Running) -> None:
