--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -160,6 +160,25 @@
     settled(fleet)
 
 
+@pytest.mark.parametrize("stream", [True, False])
+def test_a_client_whose_own_timeout_fires_leaves_nothing_behind(fleet: FleetThread, stream: bool) -> None:
+    fleet.control("w0", "slow", 5.0)
+    # The package tells us its limit in this header, and we would answer before it: so here it tells another.
+    hurried = client(fleet, timeout=0.4)
+    with pytest.raises((openai.APITimeoutError, httpx.ReadTimeout)) as caught:
+        answer: Any = hurried.chat.completions.create(model=MODEL, messages=HELLO, max_tokens=400, stream=stream,
+                                                      extra_headers={"x-stainless-read-timeout": "60"})
+        for number, _ in enumerate(answer):
+            if number == 0:
+                fleet.control("w0", "hang")
+    assert stream or isinstance(caught.value, openai.APITimeoutError)
+    hurried.close()
+    fleet.control("w0", "wake")
+    settled(fleet)
+    tally = fleet.edge.core.life.tally
+    assert (tally.taken, tally.left, tally.served) == (1, 1, 0)
+
+
 @pytest.mark.parametrize("stream", [True, False])
 def test_an_order_whose_writer_breaks_off_is_one_failure_and_ran_once(fleet: FleetThread, stream: bool) -> None:
     fleet.control("w0", "slow", 5.0)
