--- a/yardspindle/core/lifecycle.py
+++ b/yardspindle/core/lifecycle.py
@@ -80,6 +80,23 @@
     idle_since_us: int = 0  # since when no attempt is out
 
 
+def phase(r: Open) -> str:
+    """Where a request stands, in a few words: for pages, traces and the count of transitions."""
+    if r.final is not None:
+        return "settling" if r.out is not None else "over"
+    if r.streaming:
+        at = "streaming"
+    elif r.out is None:
+        at = "read" if r.state_at is not None else "waiting"
+    elif r.out.server.role is i.Role.READ:
+        at = "reading"
+    else:
+        at = "writing"
+    if r.place is not None:
+        at += ", place held" if r.place.held else ", place asked"
+    return at if r.epoch else f"{at}, no planner"
+
+
 @dataclass(slots=True)
 class Tally:
     """Counts for the metrics."""
--- a/yardspindle/edge/app.py
+++ b/yardspindle/edge/app.py
@@ -47,7 +47,7 @@
         """Nothing is opened before `start`."""
         self.world = world
         self.config = config
-        self._unique = f"{world.random('edge id').getrandbits(48):012x}"
+        self.unique = f"{world.random('edge id').getrandbits(48):012x}"
         self._unsafe = {row.name for row in config.classes if row.effect != "safe"}
         self._keys = chat.Keys(config)
         self.metrics = EdgeMetrics()
@@ -60,7 +60,7 @@
         self.link = PlannerLink(
             world, split_address(edge.planner), self._hello, self._planner_up, self._planner_down,
             self._servers, self._actions)
-        self.executor = Executor(world, self.core, EngineClient(self.http, self._unique), self.metrics,
+        self.executor = Executor(world, self.core, EngineClient(self.http, self.unique), self.metrics,
                                  self.intake, microseconds(edge.stalled_stream_ms), self.link.tell,
                                  self.knowledge)
         self.limits = ServingLimits(http1.Limits(body=edge.max_body_bytes), microseconds(edge.idle_ms),
@@ -216,7 +216,7 @@
         claims: dict[str, float] = {}
         if self.knowledge is not None:
             taken, blocks, claims = self._know(now, self.knowledge, taken, asked.said)
-        request_id = f"req-{self._unique}-{self._numbers}"
+        request_id = f"req-{self.unique}-{self._numbers}"
         head = b""
         if asked.stream:
             head = exchange.start(200, [*STREAM_HEADERS, (b"x-request-id", request_id.encode())])
--- a/yardspindle/lab/audit.py
+++ b/yardspindle/lab/audit.py
@@ -1,7 +1,9 @@
-"""The audit of a day: reads what clients and engines wrote down of their sockets, and checks the five rules.
+"""The audit: reads what clients and engines wrote down of their sockets, and checks the five rules as it goes.
 
-It knows no code of the router and none of its logs. Lines are what `clients.py` and `engine.py` note, and `killed`
-lines that the day's script writes for an engine that could not. Times are of one machine's clock, in microseconds.
+It knows no code of the router and none of its logs. Lines are what `clients.py` and `engine.py` note, and lines of
+whoever makes trouble: `killed` for an engine that could not write, `control` for what an engine was told, and for
+an edge (by its port and the prefix of its ids) `edge killed`, `edge started`, `edge stalled` and `edge woke`;
+`blind` and `seen` for a box that edges cannot reach. Times are of one clock, in microseconds, and lines are taken in their order.
 """
 
 from __future__ import annotations
@@ -14,6 +16,9 @@
 from msgspec import Struct
 
 Line = dict[str, Any]
+Spans = list[list[int]]
+FOREVER = 1 << 62
+ANSWERED = ("served", "refused", "failed")
 
 
 class Figures(Struct, forbid_unknown_fields=True, frozen=True):
@@ -23,6 +28,7 @@
     drain_grace_ms: float = 500.0
     list_ms: float = 250.0  # until every planner has read a changed list
     slack_ms: float = 400.0
+    hold_ms: float = 5_000.0  # after which engines let go by themselves of what a killed edge left
     unsafe: tuple[str, ...] = ()
 
 
@@ -51,173 +57,270 @@
 
 
 def audit(client_lines: Iterable[Line], box_lines: Iterable[Line], figures: Figures) -> Report:
-    """Check a day."""
-    report = Report()
-    boxes = sorted(box_lines, key=lambda line: line["t"])
-    tries = _answers(list(client_lines), figures, report)
-    _effects(tries, boxes, figures, report)
-    _drains(boxes, figures, report)
-    _cold(boxes, report)
-    _pinned(boxes, figures, report)
-    return report
-
-
-def _answers(lines: list[Line], figures: Figures, report: Report) -> dict[str, Line]:
-    """Rule 1: one final answer for each try, in time, nothing after it."""
-    tries: dict[str, Line] = {}
-    finals: Counter[str] = Counter()
-    for line in sorted(lines, key=lambda row: row["t"]):
-        name = line["try"]
+    """Check a day from its journals."""
+    checks = Audit(figures)
+    lines = [*box_lines, *client_lines]
+    for line in sorted(lines, key=lambda row: row["t"]):  # stable: a box's line before a client's of the same time
+        checks.take(line)
+    return checks.end()
+
+
+@dataclass(slots=True)
+class _Edge:
+    """What is known of an edge by the port its clients use."""
+
+    away: Spans = field(default_factory=list)  # when it was stalled or (to the end) killed
+    killed: bool = False
+
+
+@dataclass(slots=True)
+class _Hold:
+    since: int
+
+
+
+class Audit:
+    """The checks, fed line by line."""
+
+    def __init__(self, figures: Figures) -> None:
+        """Nothing was seen."""
+        self.report = Report()
+        self._figures = figures
+        self._slack_us = int(figures.slack_ms * 1_000)
+        self._now = 0
+        self._tries: dict[str, Line] = {}
+        self._finals: Counter[str] = Counter()
+        self._edges: dict[int, _Edge] = defaultdict(_Edge)
+        self._away: dict[str, Spans] = defaultdict(list)  # by the prefix of an edge's ids
+        self._runs: dict[str, list[Line]] = defaultdict(list)
+        self._lab_of: dict[str, str] = {}
+        self._ends: dict[tuple[str, str], Line] = {}
+        self._orders: Counter[str] = Counter()
+        self._whole: dict[str, int] = {}
+        self._draining: dict[str, int] = {}
+        self._out: dict[str, Spans] = defaultdict(list)  # by request: from, to
+        self._attempts: dict[tuple[str, str], list[int]] = {}
+        self._stages: dict[str, str] = {}
+        self._holds: dict[tuple[str, str], _Hold] = {}
+        self._blind: dict[str, Spans] = defaultdict(list)  # by box: when it could not be told anything
+        self._said: set[tuple[str, str]] = set()  # holds whose break was told
+
+    def take(self, line: Line) -> None:
+        """The next line."""
+        self._now = max(self._now, line["t"])
+        if "try" in line:
+            self._client(line)
+        elif line["ev"].startswith("edge "):
+            self._edge(line)
+        else:
+            self._box(line)
+
+    def until(self, now_us: int) -> None:
+        """Check what is held by now; the report grows by what is held too long."""
+        self._now = max(self._now, now_us)
+        for box, name in list(self._holds):
+            self._held_too_long(box, name, now_us)
+
+    def end(self) -> Report:
+        """No more lines come."""
+        self.until(self._now)
+        for name in self._tries:
+            if self._finals[name] != 1:
+                self.report.broke("one final answer", f"{name}: {self._finals[name]} final answers")
+        for name, rows in self._runs.items():
+            self._broken_off(name, rows)
+        waiting = [line for line in self._ends.values() if line["stage"] == "write"
+                   and line["how"] == "client gone" and line["id"] not in self._lab_of]
+        self.report.named["requests given up while they waited for their state"] += len(waiting)
+        return self.report
+
+    # --- edges
+
+    def _edge(self, line: Line) -> None:
+        edge, spans = self._edges[line["edge"]], self._away[line["prefix"]]
+        if line["ev"] in ("edge woke", "edge started"):
+            _close(edge.away, line["t"] + self._slack_us)
+            _close(spans, line["t"])  # of a new start no id is known yet: the killed one's stay open
+            return
+        edge.away.append([line["t"], FOREVER])
+        spans.append([line["t"], FOREVER])
+        edge.killed = edge.killed or line["ev"] == "edge killed"
+
+    # --- rule 1: one final answer for each try, in time, nothing after it
+
+    def _client(self, line: Line) -> None:
+        name, report = line["try"], self.report
         if line["ev"] == "send":
-            tries[name] = {**line, "outcome": ""}
-            continue
-        finals[name] += 1
-        known = tries[name]
+            self._tries[name] = {**line, "outcome": ""}
+            return
+        self._finals[name] += 1
+        known = self._tries[name]
         known.update(outcome=line["outcome"], code=line["code"], end_t=line["t"], events=line["events"])
         report.tally.setdefault(known["cls"], Counter())[line["outcome"]] += 1
+        away = any(start <= line["t"] and end >= known["t"] for start, end in self._edges[known["edge"]].away)
         if line["outcome"] in ("lost", "late"):
-            report.broke("one final answer", f"{name}: {line['outcome']} ({line['code']})")
+            if away:
+                report.named["answers lost or late with their edge"] += 1
+            else:
+                report.broke("one final answer", f"{name}: {line['outcome']} ({line['code']})")
         if line["extra"]:
             report.broke("one final answer", f"{name}: {line['extra']} events after the end")
         waited = line["first_t"] - known["t"]
-        answered = line["outcome"] in ("served", "refused", "failed")
-        if answered and waited > known["deadline_us"] + figures.slack_ms * 1_000:
+        answered = line["outcome"] in ANSWERED
+        if answered and waited > known["deadline_us"] + self._slack_us and not away:
             report.broke("one final answer", f"{name}: after {waited} us of {known['deadline_us']}")
         if answered and waited > known["deadline_us"]:
             report.named["answers past the client's time, within the measuring slack"] += 1
-    for name in tries:
-        if finals[name] != 1:
-            report.broke("one final answer", f"{name}: {finals[name]} final answers")
-    return tries
-
-
-def _effects(tries: dict[str, Line], boxes: list[Line], figures: Figures, report: Report) -> None:
-    """Rule 2: what must not run twice does not, and what was refused did not run."""
-    runs: dict[str, list[Line]] = defaultdict(list)
-    request_of: dict[str, str] = {}
-    ends: dict[tuple[str, str], Line] = {}
-    for line in boxes:
-        if line["ev"] == "run":
-            runs[line["lab"]].append(line)
-            request_of[line["id"]] = line["lab"]
-        elif line["ev"] == "end" and line["id"] in request_of:
-            ends[(line["box"], line["id"])] = line
-    by_order: Counter[str] = Counter()
-    for name, rows in runs.items():
-        known = tries.get(name)
+        if line["outcome"] == "served":
+            if name not in self._whole:
+                report.broke("one final answer", f"{name} was served and no engine wrote it whole")
+            elif line["events"] not in (1, self._whole[name]):
+                report.broke("one final answer", f"{name}: {line['events']} events of {self._whole[name]}")
+        if line["outcome"] == "refused" and known["cls"] in self._figures.unsafe and self._runs.get(name):
+            report.broke("no effect twice", f"{name} ran and was refused")
+
+    # --- rule 2: what must not run twice does not, and what was refused did not run
+
+    def _run(self, line: Line) -> None:
+        name, report = line["lab"], self.report
+        rows = self._runs[name]
+        rows.append(line)
+        self._lab_of[line["id"]] = name
+        known = self._tries.get(name)
         if known is None:
             report.broke("no effect twice", f"{name} ran and no client sent it")
-            continue
-        unsafe = known["cls"] in figures.unsafe
-        by_order[known["order"]] += len(rows) if unsafe else 0
-        if unsafe and known["outcome"] == "refused":
-            report.broke("no effect twice", f"{name} ran and was refused")
+        elif known["cls"] in self._figures.unsafe:
+            self._orders[known["order"]] += 1
+            if self._orders[known["order"]] > 1:
+                report.broke("no effect twice", f"{known['order']} ran {self._orders[known['order']]} times")
+            if known["outcome"] == "refused":
+                report.broke("no effect twice", f"{name} ran and was refused")
+
+    def _run_ended(self, line: Line) -> None:
+        rows = self._runs.get(self._lab_of.get(line["id"], ""), [])
         for first, second in zip(rows, rows[1:], strict=False):
-            end = ends.get((first["box"], first["id"]))
-            if end is not None and end["t"] > second["t"] + figures.slack_ms * 1_000:
-                report.broke("no effect twice", f"{name} ran at {first['box']} and {second['box']} at once")
-        cut = [row for row in rows if (end := ends.get((row["box"], row["id"]))) is None or end["how"] == "reset"]
-        if unsafe and cut and known["outcome"] not in ("left", "lost", "late"):
-            report.named["orders whose writer broke off"] += 1
+            here = first["box"] == line["box"] and first["id"] == line["id"]
+            if here and line["t"] > second["t"] + self._slack_us:
+                self.report.broke("no effect twice", f"{line['id']} ran at {first['box']} and {second['box']} at once")
+
+    def _broken_off(self, name: str, rows: list[Line]) -> None:
+        known = self._tries.get(name)
+        if known is None or known["cls"] not in self._figures.unsafe:
+            return
+        cut = [row for row in rows
+               if (end := self._ends.get((row["box"], row["id"]))) is None or end["how"] == "reset"]
+        if cut and known["outcome"] not in ("left", "lost", "late"):
+            self.report.named["orders whose writer broke off"] += 1
             if known["outcome"] != "failed":
-                report.broke("no effect twice", f"{name}: its writer broke off and it was {known['outcome']}")
-    for order, count in by_order.items():
-        if count > 1:
-            report.broke("no effect twice", f"{order} ran {count} times")
-    sent = {request_of[line["id"]]: line["tokens"] for line in boxes
-            if line["ev"] == "sent" and line.get("whole") and line["id"] in request_of}
-    for name, known in tries.items():
-        if known["outcome"] == "served" and name not in sent:
-            report.broke("one final answer", f"{name} was served and no engine wrote it whole")
-        elif known["outcome"] == "served" and known["events"] not in (1, sent[name]):
-            report.broke("one final answer", f"{name}: {known['events']} events of {sent[name]}")
-    waiting = [line for line in boxes if line["ev"] == "end" and line["stage"] == "write"
-               and line["how"] == "client gone" and line["id"] not in request_of]
-    report.named["requests given up while they waited for their state"] += len(waiting)
-
-
-def _drains(boxes: list[Line], figures: Figures, report: Report) -> None:
-    """Rule 3: nothing new after the list told, was read, and the grace has passed."""
-    since: dict[str, int] = {}
-    allowed_us = (figures.drain_grace_ms + figures.list_ms + figures.slack_ms) * 1_000
-    for line in boxes:
-        if line["ev"] == "control" and line["do"] in ("listed_draining", "listed_serving"):
-            if line["do"] == "listed_draining":
-                since[line["box"]] = line["t"]
-                report.named["drains"] += 1
-            else:
-                since.pop(line["box"], None)
-        elif line["ev"] == "arrive" and line["box"] in since and line["t"] > since[line["box"]] + allowed_us:
-            report.broke("drains kept", f"{line['id']} came to {line['box']} {line['t'] - since[line['box']]} us late")
-
-
-def _cold(boxes: list[Line], report: Report) -> None:
-    """Rule 4: no engine says that it fell over."""
-    for line in boxes:
-        if line["ev"] == "fell":
-            report.broke("no cold server pushed over", f"{line['box']} fell at {line['t']}")
-
-
-def _pinned(boxes: list[Line], figures: Figures, report: Report) -> None:
-    """Rule 5: a state or place without an attempt out is used or let go in time."""
-    out: dict[str, list[list[int]]] = defaultdict(list)  # by request: from, to
-    open_attempts: dict[tuple[str, str], list[int]] = {}
-    holds: list[tuple[str, str, int, int]] = []
-    open_holds: dict[tuple[str, str], int] = {}
-    hung: dict[str, list[list[int]]] = defaultdict(list)
-    stages: dict[str, str] = {}
-    running: set[str] = set()
-    last = boxes[-1]["t"] if boxes else 0
-
-    def close_hold(box: str, name: str, t: int) -> None:
-        if (box, name) in open_holds:
-            holds.append((box, name, open_holds.pop((box, name)), t))
-
-    for line in boxes:
-        box, name, t = line["box"], line["id"], line["t"]
+                self.report.broke("no effect twice", f"{name}: its writer broke off and it was {known['outcome']}")
+
+    # --- boxes, and rules 3 and 4
+
+    def _box(self, line: Line) -> None:
+        box, name, t, report = line["box"], line["id"], line["t"], self.report
         match line["ev"]:
             case "arrive":
-                span = [t, last]
-                stages[name] = line["stage"]
-                open_attempts[(box, name)] = span
-                out[_request(name)].append(span)
+                self._drain_kept(line)
+                span = [t, FOREVER]
+                self._stages[name] = line["stage"]
+                self._attempts[(box, name)] = span
+                self._out[_request(name)].append(span)
             case "end" | "gone":
-                if (box, name) in open_attempts:
-                    open_attempts.pop((box, name))[1] = t
+                if (box, name) in self._attempts:
+                    self._attempts.pop((box, name))[1] = t
+                if line["ev"] == "end" and (line["stage"] == "write" or name in self._lab_of):
+                    self._ends[(box, name)] = line
+                    self._run_ended(line)
             case "run":
-                running.add(name)
+                self._run(line)
+            case "sent" if line.get("whole") and name in self._lab_of:
+                self._whole[self._lab_of[name]] = line["tokens"]
             case "hold state" | "hold place":
-                open_holds[(box, name)] = t
+                self._holds[(box, name)] = _Hold(t)
             case "fetched" | "take place" | "release":
-                close_hold(box, name, t)
-            case "expire" if hung[box] and hung[box][-1][1] > t:
-                close_hold(box, name, t)  # it hangs: nobody could tell it to let go
+                self._let_go(box, name, t)
             case "expire":
-                report.broke("nothing left pinned", f"{name} lapsed at {box}")
-                close_hold(box, name, t)
+                hold = self._holds.get((box, name))
+                since = hold.since if hold is not None else t
+                excused = self._spans(self._blind[box], since, t) or self._spans(self._away[_edge_of(name)], since, t)
+                if not excused:  # else nobody could tell it to let go
+                    report.broke("nothing left pinned", f"{name} lapsed at {box}")
+                self._let_go(box, name, t)
             case "killed":
-                for key in [key for key in open_holds if key[0] == box]:
-                    close_hold(*key, t)
-                for key in [key for key in open_attempts if key[0] == box]:
-                    open_attempts.pop(key)[1] = t
-                    part = "stream" if key[1] in running else "read" if stages[key[1]] == "read" else "move"
-                    report.named[f"attempts whose box died mid-{part}"] += 1
-                _close(hung[box], t)
-            case "control" if line["do"] == "hang":
-                hung[box].append([t, last])
-            case "control" if line["do"] == "wake":
-                _close(hung[box], t)
+                self._killed(box, t)
+            case "fell":
+                report.broke("no cold server pushed over", f"{box} fell at {t}")
+            case "control":
+                self._control(box, line["do"], t)
+            case "blind":
+                self._blind[box].append([t, FOREVER])
+            case "seen":
+                self._see(box, t)
             case _:
                 pass
-    holds += [(box, name, t, last) for (box, name), t in open_holds.items()]
-    for box, name, start, end in holds:
-        free = _uncovered(start, end, out[_request(name)] + hung[box])
-        if free > (figures.release_ms + figures.slack_ms) * 1_000:
-            report.broke("nothing left pinned", f"{name} at {box} for {free} us with no attempt out")
-    report.named["states and places held"] += len(holds)
 
+    def _control(self, box: str, do: str, t: int) -> None:
+        match do:
+            case "hang":
+                self._blind[box].append([t, FOREVER])
+            case "wake":
+                self._see(box, t)
+            case "listed_draining":
+                self._draining[box] = t
+                self.report.named["drains"] += 1
+            case "listed_serving":
+                self._draining.pop(box, None)
+            case _:
+                pass
 
-def _close(spans: list[list[int]], t: int) -> None:
+    def _see(self, box: str, t: int) -> None:
+        for span in self._blind[box]:  # the oldest that is still open: faults may overlap
+            if span[1] == FOREVER:
+                span[1] = t
+                return
+
+    def _drain_kept(self, line: Line) -> None:
+        """Nothing new after the list told, was read, and the grace has passed."""
+        since = self._draining.get(line["box"])
+        allowed_us = (self._figures.drain_grace_ms + self._figures.list_ms) * 1_000 + self._slack_us
+        if since is not None and line["t"] > since + allowed_us:
+            self.report.broke("drains kept", f"{line['id']} came to {line['box']} {line['t'] - since} us late")
+
+    def _killed(self, box: str, t: int) -> None:
+        for key in [key for key in self._holds if key[0] == box]:
+            self._let_go(*key, t)
+        for key in [key for key in self._attempts if key[0] == box]:
+            self._attempts.pop(key)[1] = t
+            part = "stream" if key[1] in self._lab_of else "read" if self._stages[key[1]] == "read" else "move"
+            self.report.named[f"attempts whose box died mid-{part}"] += 1
+        for span in self._blind[box]:
+            span[1] = min(span[1], t)
+
+    # --- rule 5: a state or place without an attempt out is used or let go in time
+
+    def _let_go(self, box: str, name: str, t: int) -> None:
+        if (box, name) in self._holds:
+            self.report.named["states and places held"] += 1
+            self._held_too_long(box, name, t)
+            del self._holds[(box, name)]
+
+    def _held_too_long(self, box: str, name: str, t: int) -> None:
+        hold = self._holds[(box, name)]
+        away = self._away[_edge_of(name)]
+        left = self._figures.hold_ms * 1.1 * 1_000 + self._slack_us
+        blind = [span for spans in self._blind.values() for span in spans]
+        free = _uncovered(hold.since, t, self._out[_request(name)] + blind + away)
+        orphaned = t - hold.since > left and away and away[-1][1] == FOREVER and not blind
+        if (free > self._figures.release_ms * 1_000 + self._slack_us or orphaned) and (box, name) not in self._said:
+            self._said.add((box, name))
+            self.report.broke("nothing left pinned", f"{name} at {box} for {free} us with no attempt out")
+
+    @staticmethod
+    def _spans(spans: Spans, start: int, end: int) -> bool:
+        return any(a <= end and b >= start for a, b in spans)
+
+
+def _close(spans: Spans, t: int) -> None:
     if spans:
         spans[-1][1] = min(spans[-1][1], t)
 
@@ -226,7 +329,11 @@
     return name.rpartition(".")[0]
 
 
-def _uncovered(start: int, end: int, spans: list[list[int]]) -> int:
+def _edge_of(name: str) -> str:
+    return name.partition("-")[0]
+
+
+def _uncovered(start: int, end: int, spans: Spans) -> int:
     """The longest part of a time that none of the spans covers."""
     longest, at = 0, start
     for a, b in sorted(spans):
--- a/yardspindle/lab/clients.py
+++ b/yardspindle/lab/clients.py
@@ -100,13 +100,18 @@
         """One request with its retries, each at the next edge."""
         for attempt in range(1 + self._habits.retries):
             edge = edges[(plan.number + attempt) % len(edges)]
-            seen = self._try(plan, attempt, edge)
+            seen = self.try_once(plan, attempt, edge)
             if seen.outcome not in ("refused", "unreachable") or attempt == self._habits.retries:
                 return
             wait_us = int(seen.retry_ms * 1_000) or plan.pause_us
             self._world.sleep_until(self._world.now_us() + wait_us)
 
-    def _try(self, plan: Plan, attempt: int, edge: tuple[str, int]) -> _Seen:
+    def close(self) -> None:
+        """Close the connections that are kept."""
+        self._http.close_all()
+
+    def try_once(self, plan: Plan, attempt: int, edge: tuple[str, int]) -> _Seen:
+        """One try, without a retry."""
         name = f"q{plan.number}.{attempt}"
         started = self._world.now_us()
         seen = _Seen()
--- a/yardspindle/lab/fleet.py
+++ b/yardspindle/lab/fleet.py
@@ -118,17 +118,8 @@
 
     def write_list(self) -> None:
         """Put the server list as it should be in force now, at once."""
-        lines = [f"count = {sum(box.listed for box in self.boxes)}"]
-        for box in self.boxes:
-            if box.listed:
-                lines += ["", "[[servers]]", f'name = "{box.settings.name}"', f'address = "127.0.0.1:{box.port}"',
-                          f'kind = "{box.kind}"', f'zone = "{box.zone}"', f"cell = {box.cell}",
-                          f'state = "{box.state}"', f"up_since_ms = {box.up_since_ms:.3f}",
-                          f"places = {str(box.settings.places).lower()}"]
-                if box.settings.events:
-                    lines += [f'events = "127.0.0.1:{box.events_port}"', f'replay = "127.0.0.1:{box.replay_port}"']
         with open(self.path("servers.new"), "w") as out:
-            out.write("\n".join(lines) + "\n")
+            out.write(server_list(self.boxes))
         os.replace(self.path("servers.new"), self.path("servers.toml"))
 
     def stop(self) -> dict[str, int]:
@@ -175,6 +166,20 @@
     return int(url.split()[0].split("//")[-1].split("/")[0].rpartition(":")[2])
 
 
+def server_list(boxes: list[Box]) -> str:
+    """The list of servers as a file."""
+    lines = [f"count = {sum(box.listed for box in boxes)}"]
+    for box in boxes:
+        if box.listed:
+            lines += ["", "[[servers]]", f'name = "{box.settings.name}"', f'address = "127.0.0.1:{box.port}"',
+                      f'kind = "{box.kind}"', f'zone = "{box.zone}"', f"cell = {box.cell}",
+                      f'state = "{box.state}"', f"up_since_ms = {box.up_since_ms:.3f}",
+                      f"places = {str(box.settings.places).lower()}"]
+            if box.settings.events:
+                lines += [f'events = "127.0.0.1:{box.events_port}"', f'replay = "127.0.0.1:{box.replay_port}"']
+    return "\n".join(lines) + "\n"
+
+
 def to_toml(document: dict[str, Any]) -> bytes:
     """A configuration as TOML."""
     return msgspec.toml.encode(document)
--- /dev/null
+++ b/yardspindle/lab/script.py
@@ -0,0 +1,134 @@
+"""Scripts of seeded worlds: which requests come and what goes wrong, drawn from a seed as plain data.
+
+A script is all that a run depends on. It can be printed, cut down request by request and fault by fault, kept in a
+test and played again. What goes wrong overlaps more often than not: half of the faults fall inside an earlier one's
+time, and half of those on the same target, so that rare combinations come up.
+"""
+
+from __future__ import annotations
+
+import random
+
+from msgspec import Struct
+
+EDGES, RACKS, READERS, WRITERS = 2, 2, 2, 2  # of each rack, the last two
+BOXES = tuple(f"{kind}{rack}-{number}" for rack in range(RACKS)
+              for kind, count in (("r", READERS), ("w", WRITERS)) for number in range(count))
+EDGE_NAMES = tuple(f"edge{number}" for number in range(EDGES))
+REQUESTS = (50, 70)
+FAULTS = (3, 7)
+
+# kind: (targets, shortest ms, longest ms). What the users have seen is among them, by their words in the comments.
+KINDS: dict[str, tuple[str, int, int]] = {
+    "box hangs": ("box", 50, 3_000),
+    "box stalls": ("box", 20, 2_000),
+    "box dies": ("box", 50, 4_000),  # and comes back cold
+    "box slow": ("box", 100, 3_000),
+    "box full": ("box", 50, 2_000),
+    "box forgets": ("box", 0, 0),
+    "box resets": ("box", 20, 500),
+    "box draining": ("box", 500, 3_000),
+    "box gone": ("box", 500, 3_000),  # off the list
+    "rack dies": ("rack", 50, 3_000),  # and restarts together
+    "rack hangs": ("rack", 50, 1_500),
+    "all slow": ("", 200, 3_000),  # every box together
+    "all forget": ("", 0, 0),
+    "edge dies": ("edge", 50, 2_000),
+    "edge stalls": ("edge", 20, 1_500),
+    "edge clock": ("edge", 0, 0),
+    "planner dies": ("", 50, 2_500),
+    "planner stalls": ("", 20, 3_000),
+    "planner clock": ("", 0, 0),
+    "link reset": ("edge", 0, 0),
+    "link cut up": ("edge", 20, 3_000),  # towards the planner only
+    "link cut down": ("edge", 20, 3_000),
+    "link slow": ("edge", 100, 3_000),
+    "box cut there": ("edge box", 20, 3_000),
+    "box cut back": ("edge box", 20, 3_000),
+    "box connects refused": ("edge box", 20, 2_000),
+    "box connects hang": ("edge box", 20, 2_000),
+    "box connections reset": ("box", 0, 0),
+    "box far": ("box", 100, 3_000),
+    "box narrow": ("box", 100, 3_000),
+    "move cut": ("move", 20, 3_000),  # writer to reader
+    "events bad": ("box", 200, 4_000),  # lost, doubled, out of order
+    "list bad": ("", 100, 2_000),
+    "list half": ("", 20, 1_000),
+    "list missing": ("", 100, 2_000),
+    "flood": ("", 0, 0),
+    "flood of hang-ups": ("", 0, 0),
+    "half-closing clients": ("", 0, 0),
+}
+
+
+class Fault(Struct, frozen=True, forbid_unknown_fields=True):
+    """One thing that goes wrong."""
+
+    kind: str
+    at_ms: int
+    for_ms: int
+    on: str = ""
+    other: str = ""
+    factor: float = 1.0
+
+    def __str__(self) -> str:
+        """For people."""
+        what = " ".join((self.kind, *(name for name in (self.on, self.other) if name)))
+        return f"{self.at_ms:6} ms  {what} for {self.for_ms} ms, factor {self.factor:.2f}"
+
+
+class Script(Struct, frozen=True, forbid_unknown_fields=True):
+    """One world. `requests`: number and time (ms) of each."""
+
+    seed: int
+    requests: tuple[tuple[int, int], ...]
+    faults: tuple[Fault, ...]
+
+
+def draw_script(seed: int) -> Script:
+    """The world of a seed."""
+    rng = random.Random(f"script {seed}")
+    count = rng.randint(*REQUESTS)
+    rate_per_s = rng.choice((8.0, 15.0, 30.0, 60.0))
+    at, requests = 0.0, []
+    for number in range(count):
+        at += rng.expovariate(rate_per_s) * 1_000
+        requests.append((number, int(at)))
+    faults: list[Fault] = []
+    for _ in range(rng.randint(*FAULTS)):
+        faults.append(_fault(rng, faults, int(at)))
+    return Script(seed, tuple(requests), tuple(sorted(faults, key=lambda fault: fault.at_ms)))
+
+
+def _fault(rng: random.Random, before: list[Fault], last_ms: int) -> Fault:
+    kind = rng.choice(tuple(KINDS))
+    targets, shortest, longest = KINDS[kind]
+    for_ms = int(shortest + (longest - shortest) * rng.random() ** 2)  # the short ones more often
+    at_ms = rng.randint(100, max(last_ms, 101))
+    on = other = ""
+    near = rng.choice(before) if before and rng.random() < 0.5 else None
+    if near is not None:
+        at_ms = rng.randint(near.at_ms, near.at_ms + max(near.for_ms, 200))
+    same = near is not None and rng.random() < 0.5
+    if targets == "rack":
+        on = str(rng.randrange(RACKS))
+    elif targets == "edge":
+        on = near.on if same and near is not None and near.on in EDGE_NAMES else rng.choice(EDGE_NAMES)
+    elif targets in ("box", "edge box"):
+        named = [name for name in (near.on, near.other) if name in BOXES] if same and near is not None else []
+        on = named[0] if named else rng.choice(BOXES)
+        other = rng.choice(EDGE_NAMES) if targets == "edge box" else ""
+    elif targets == "move":
+        on = rng.choice([name for name in BOXES if name[0] == "w"])
+        other = rng.choice([name for name in BOXES if name[0] == "r" and name[1] == on[1]])
+    return Fault(kind, at_ms, for_ms, on, other, round(1 + 19 * rng.random() ** 2, 2))
+
+
+def overlapping(script: Script, after_ms: int = 500) -> list[tuple[str, str]]:
+    """Pairs of kinds whose times (and a while after) overlap, each pair in order of its names."""
+    pairs = []
+    for at, first in enumerate(script.faults):
+        for second in script.faults[at + 1:]:
+            if second.at_ms <= first.at_ms + first.for_ms + after_ms:
+                pairs.append((min(first.kind, second.kind), max(first.kind, second.kind)))
+    return pairs
--- a/yardspindle/runtime/scheduler.py
+++ b/yardspindle/runtime/scheduler.py
@@ -44,11 +44,22 @@
         """Whether nothing outside is waited for."""
 
 
+class Gate:
+    """Holds up the tasks behind it while it is shut: several programs on one scheduler, of which one stalls."""
+
+    __slots__ = ("shut", "held")
+
+    def __init__(self) -> None:
+        """Open."""
+        self.shut = False
+        self.held: list[tuple[Task, Any, BaseException | None]] = []
+
+
 class Task:
     """A function that runs in a greenlet of its own."""
 
     __slots__ = ("name", "_scheduler", "_greenlet", "parked", "interrupts", "done", "result", "error",
-                 "_joiners", "_observed")
+                 "_joiners", "_observed", "gate")
 
     def __init__(self, scheduler: Scheduler, name: str, run: Callable[[], Any]) -> None:
         """Made by `Scheduler.spawn`."""
@@ -61,6 +72,7 @@
         self.error: BaseException | None = None
         self._joiners: list[Task] = []
         self._observed = False
+        self.gate: Gate | None = None
 
         def body(_value: object = None) -> None:
             try:
@@ -192,6 +204,12 @@
         else:
             task.interrupts.append(error)
 
+    def open_gate(self, gate: Gate) -> None:
+        """Let what was held up run, in the order in which it was woken."""
+        gate.shut = False
+        self._ready.extend(gate.held)
+        gate.held.clear()
+
     def yield_now(self) -> None:
         """Let every other ready task run first."""
         task = self.current
@@ -230,6 +248,9 @@
         while True:
             for _ in range(len(self._ready)):
                 task, value, error = self._ready.popleft()
+                if task.gate is not None and task.gate.shut:
+                    task.gate.held.append((task, value, error))
+                    continue
                 self._current = task
                 self.switches += 1
                 if error is None:
@@ -240,6 +261,8 @@
             if self._main.done and not stopping:
                 stopping = True
                 for task in list(self.tasks):
+                    if task.gate is not None:
+                        self.open_gate(task.gate)
                     task.cancel()
             if not self.tasks:
                 return
