--- a/yardspindle/core/rules.py
+++ b/yardspindle/core/rules.py
@@ -65,6 +65,7 @@
         self.open: dict[int, Watched] = {}
         self._ended: dict[int, Watched] = {}
         self.breaks: list[Break] = []
+        self.last: Break | None = None
 
     # --- what comes in
 
@@ -192,7 +193,8 @@
             known.places[place] = server
 
     def _broken(self, rule: str, request: int, text: str) -> bool:
-        self.breaks.append(Break(rule, request, text))
+        self.last = Break(rule, request, text)
+        self.breaks.append(self.last)
         return False
 
     def _known(self, request: int) -> Watched | None:
--- a/yardspindle/lab/audit.py
+++ b/yardspindle/lab/audit.py
@@ -3,7 +3,8 @@
 It knows no code of the router and none of its logs. Lines are what `clients.py` and `engine.py` note, and lines of
 whoever makes trouble: `killed` for an engine that could not write, `control` for what an engine was told, and for
 an edge (by its port and the prefix of its ids) `edge killed`, `edge started`, `edge stalled` and `edge woke`;
-`blind` and `seen` for a box that edges cannot reach. Times are of one clock, in microseconds, and lines are taken in their order.
+`blind` and `seen` for a box that edges cannot reach. Times are of one clock, in microseconds, and lines are taken in
+their order.
 """
 
 from __future__ import annotations
@@ -28,6 +29,7 @@
     drain_grace_ms: float = 500.0
     list_ms: float = 250.0  # until every planner has read a changed list
     slack_ms: float = 400.0
+    left_ms: float = 1_000.0  # until an attempt has ended whose client hung up
     hold_ms: float = 5_000.0  # after which engines let go by themselves of what a killed edge left
     unsafe: tuple[str, ...] = ()
 
@@ -103,7 +105,9 @@
         self._stages: dict[str, str] = {}
         self._holds: dict[tuple[str, str], _Hold] = {}
         self._blind: dict[str, Spans] = defaultdict(list)  # by box: when it could not be told anything
-        self._said: set[tuple[str, str]] = set()  # holds whose break was told
+        self._said: set[tuple[str, str]] = set()  # holds and attempts whose break was told
+        self._for: dict[str, str] = {}  # by attempt: the try that it is for
+        self._left: dict[str, int] = {}  # tries whose client hung up: when
 
     def take(self, line: Line) -> None:
         """The next line."""
@@ -120,6 +124,8 @@
         self._now = max(self._now, now_us)
         for box, name in list(self._holds):
             self._held_too_long(box, name, now_us)
+        for (box, name), (since, _) in list(self._attempts.items()):
+            self._for_nobody(box, name, since, now_us)
 
     def end(self) -> Report:
         """No more lines come."""
@@ -155,6 +161,8 @@
             return
         self._finals[name] += 1
         known = self._tries[name]
+        if line["outcome"] == "left" and line.get("code") == "hung up":
+            self._left[name] = line["t"]
         known.update(outcome=line["outcome"], code=line["code"], end_t=line["t"], events=line["events"])
         report.tally.setdefault(known["cls"], Counter())[line["outcome"]] += 1
         away = any(start <= line["t"] and end >= known["t"] for start, end in self._edges[known["edge"]].away)
@@ -224,6 +232,7 @@
                 span = [t, FOREVER]
                 self._stages[name] = line["stage"]
                 self._attempts[(box, name)] = span
+                self._for[name] = line.get("lab", "")
                 self._out[_request(name)].append(span)
             case "end" | "gone":
                 if (box, name) in self._attempts:
@@ -315,6 +324,17 @@
             self._said.add((box, name))
             self.report.broke("nothing left pinned", f"{name} at {box} for {free} us with no attempt out")
 
+    def _for_nobody(self, box: str, name: str, since: int, now_us: int) -> None:
+        """An attempt goes on though its client hung up."""
+        left_us = self._left.get(self._for.get(name, ""))
+        if left_us is None or (box, name) in self._said:
+            return
+        told_us = max(left_us, since)
+        free = _uncovered(told_us, now_us, self._blind[box] + self._away[_edge_of(name)])
+        if free > self._figures.left_ms * 1_000 + self._slack_us:
+            self._said.add((box, name))
+            self.report.broke("nothing left pinned", f"{name} at {box} goes on {free} us after its client left")
+
     @staticmethod
     def _spans(spans: Spans, start: int, end: int) -> bool:
         return any(a <= end and b >= start for a, b in spans)
--- a/yardspindle/lab/clients.py
+++ b/yardspindle/lab/clients.py
@@ -134,7 +134,7 @@
                 self._stream(plan, seen, response)
         except DeadlineExceeded:
             assert deadline.passed
-            seen.outcome = "left" if plan.hang_up_us else "late"
+            seen.outcome, seen.code = ("left", "hung up") if plan.hang_up_us else ("late", "")
         except ConnectError:
             seen.outcome = "unreachable"
         except ExchangeBroken as error:
--- a/yardspindle/lab/engine.py
+++ b/yardspindle/lab/engine.py
@@ -316,6 +316,8 @@
             exchange.on_gone = previous
             if turn in self.load.waiting:
                 self.load.waiting.remove(turn)
+            elif exchange.gone and self.load.waiting:  # its turn had come: it passes to the next
+                self.load.waiting.popleft().set()
             if exchange.gone:
                 gone.set()
                 raise StreamError("gone while waiting")
@@ -494,6 +496,7 @@
         while True:
             self.world.sleep_until(self.world.now_us() + int(self.set.hold_ms * 1_000 / WINDOW_PARTS))
             now = self.world.now_us()
+            self.http.close_old()
             for held in (self.states, self.places):
                 for request, known in list(held.items()):
                     if now >= known.expires_us:
--- a/yardspindle/lab/troubles.py
+++ b/yardspindle/lab/troubles.py
@@ -21,7 +21,7 @@
 PLANNER = "planner"
 RETOLD_US = 2_300_000  # a release that could not be told goes out again after its time-out and its longest pause
 SEEN_LINK_US = 2_500_000  # until an edge whose link was down has it again, at the longest
-FLOOD = 40
+FLOOD = 60
 STEP_US = 150_000
 
 
--- a/yardspindle/lab/worlds.py
+++ b/yardspindle/lab/worlds.py
@@ -35,16 +35,19 @@
 
 HOST = "127.0.0.1"
 SERVERS = "servers.toml"
-CLASSES = (ClientClass("chat", 0.5, 4_000.0, 20), ClientClass("order", 0.5, 4_000.0, 20))
+CLASSES = (ClientClass("chat", 0.5, 4_000.0, 12), ClientClass("order", 0.5, 4_000.0, 12))
 PROBES = ClientClass("chat", 1.0, 4_000.0, 4)
 HABITS = Habits(hang_up=0.1, stop_reading=0.05, openings=3, opening_words=60, words=30)
 STEADY = Habits(hang_up=0.0, stop_reading=0.0, retries=0, openings=1, opening_words=4, words=4)
 COLD_MS = 2_000.0
-RULES = {"cold_ms": COLD_MS, "start_capacity": 0.3, "fall_ms": 500.0}
-FIGURES = Figures(slack_ms=150.0, unsafe=("order",))
+RULES = {"cold_ms": COLD_MS, "start_capacity": 0.3, "fall_ms": 500.0, "fall_multiple": 1.2}
+FIGURES = Figures(slack_ms=150.0, left_ms=200.0, unsafe=("order",))
+INTERLOCKS = {"answer overdue", "held too long"}  # the edge's last resort: never needed while its planner decides
+HUSHED = {"planner stalls", "planner clock", "edge stalls", "edge clock", "link cut up", "link cut down", "link slow"}
 QUIET_US = 8_000_000  # after the probes: longer than any hold, time-out and kept connection
 RETURNED_US = 6_000_000  # the stated time: by then every edge serves again after the last fault
 LOOK_US = 50_000
+IDLE_TIMERS = len(BOXES) + 2 * len(EDGE_NAMES) + 3  # holds, the edges' ticks and policies, list, rules, this task
 LONGEST_US = 90_000_000  # virtual; what has not ended by then never does
 DOCUMENT: dict[str, Any] = {
     "classes": [{"name": c.name, "effect": effect, "aim_ms": 1_000, "give_up_ms": c.give_up_ms}
@@ -109,6 +112,8 @@
         self._engines: dict[str, Engine] = {}
         self._edges = {name: _EdgeSeat() for name in EDGE_NAMES}
         self._planner_port = 0
+        self._planner: Planner | None = None
+        self._lists: set[frozenset[str]] = {frozenset()}  # all that were ever written whole
         self._say, self._count = say, count
         self._hash = hashlib.sha256()
         self._list_fault = ""
@@ -121,6 +126,7 @@
         self._found: list[str] = []
         self._main: Task | None = None
         self._stopped = False
+        self._hushed = any(fault.kind in HUSHED for fault in script.faults)  # a planner may be too late to decide
         self.sim.files[SERVERS] = b""
 
     # --- what is seen
@@ -176,7 +182,7 @@
 
     def start_edge(self, name: str) -> None:
         """Start an edge where it was."""
-        seat, world = self._edges[name], self.sim.program(name)
+        seat, world = self._edges[name], self.sim.program(name, skewed=True)
         edge = seat.edge = Edge(world, self._config(name, seat.port))
         if self._count:
             self._watch(edge)
@@ -197,8 +203,8 @@
         """Start the planner where it was; a list that it cannot take is mended first, as a person would."""
         if self._list_fault:
             self.list_fault("")
-        planner = Planner(self.sim.program(troubles.PLANNER), self._config("", 0))
-        _, self._planner_port = planner.start()
+        self._planner = Planner(self.sim.program(troubles.PLANNER, skewed=True), self._config("", 0))
+        _, self._planner_port = self._planner.start()
 
     def _config(self, edge: str, port: int) -> Config:
         document = {**DOCUMENT, "planner": {**DOCUMENT["planner"], "listen": f"{HOST}:{self._planner_port}"}}
@@ -229,6 +235,7 @@
 
     def write_list(self) -> None:
         """The server list as it should be, unless it is spoilt just now."""
+        self._lists.add(frozenset(name for name, box in self.boxes.items() if box.listed))
         if not self._list_fault:
             self.sim.files[SERVERS] = server_list(list(self.boxes.values())).encode()
 
@@ -348,9 +355,10 @@
         for name in BOXES:
             role, kind = ("read", "reader") if name[0] == "r" else ("write", "writer")
             settings = msgspec.convert(
-                {"name": name, "role": role, "events": role == "read", "slots": 6, "queue": 6,
+                {"name": name, "role": role, "events": role == "read", "slots": 3, "queue": 6,
                  "start_capacity": RULES["start_capacity"], "fall_ms": RULES["fall_ms"],
-                 "read_tokens_per_s": 20_000.0, "memory_tokens": 40_000, "cache_tokens": 20_000}, EngineSettings)
+                 "fall_multiple": RULES["fall_multiple"], "read_tokens_per_s": 20_000.0,
+                 "memory_tokens": 40_000, "cache_tokens": 20_000}, EngineSettings)
             self.boxes[name] = Box(settings, int(name[1]), kind)
         self.start_boxes(list(BOXES), 0.0)
         self.start_planner()
@@ -384,8 +392,14 @@
             self.sim.scheduler.sleep_until(self.sim.now_us() + LOOK_US)
             self.audit.until(self.sim.now_us())
             for name, seat in self._edges.items():
-                if seat.edge is not None and seat.edge.core.watch.breaks:
-                    self._found.append(f"{name}'s own watch: {seat.edge.core.watch.breaks[0]}")
+                if seat.edge is not None and seat.edge.core.watch.last is not None:
+                    self._found.append(f"{name}'s own watch: {seat.edge.core.watch.last}")
+                if seat.edge is not None and not self._hushed and (
+                        late := INTERLOCKS & seat.edge.core.life.tally.interlocks.keys()):
+                    self._found.append(f"at once: {name} had to keep the rule itself: {', '.join(sorted(late))}")
+            listed = frozenset(server.name for server in self._planner.roster.servers) if self._planner else frozenset()
+            if listed not in self._lists:
+                self._found.append("list: one is in force that was never written whole: " + " ".join(sorted(listed)))
             if self.sim.now_us() > self.started_us + LONGEST_US:
                 self._found.append("liveness: not ended: " + ", ".join(sorted(
                     task.name for task in self.sim.scheduler.tasks if task.gate in (None, self._clients_world.gate))))
@@ -425,6 +439,9 @@
             if any(left.values()):
                 self._found.append(f"liveness: {name} is left with " + ", ".join(
                     f"{count} {what}" for what, count in left.items() if count) + f" {self._tasks(name) - seat.idle}")
+        timers = len(self.sim.scheduler.timers)
+        if timers > IDLE_TIMERS:
+            self._found.append(f"liveness: {timers} timers are left; a fleet at rest has at most {IDLE_TIMERS}")
         for name, engine in self._engines.items():
             held = [*engine.states, *engine.places]
             if held or engine.load.running or engine.load.waiting or engine.load.memory:
--- a/yardspindle/runtime/virtual.py
+++ b/yardspindle/runtime/virtual.py
@@ -28,6 +28,7 @@
 T = TypeVar("T")
 EPOCH_US = 1_700_000_000_000_000  # where every virtual clock starts
 FIRST_PORT = 20_000
+SKEW_US = 5_000_000
 RETRY_US = 50_000  # how often a connection that hangs is tried anew, as a kernel repeats its SYN
 
 
@@ -74,10 +75,15 @@
         """Run a task and all programs to the task's end."""
         return self.scheduler.run(name, function, *args)
 
-    def program(self, name: str) -> VirtualWorld:
-        """The World of a program's start; a name comes again when the program starts again."""
+    def program(self, name: str, skewed: bool = False) -> VirtualWorld:
+        """The World of a program's start; a name comes again when the program starts again.
+
+        `skewed`: its clock is set apart from the others'.
+        """
         number = self.drawn(f"program {name}")
         self.programs[name] = VirtualWorld(self, name, number)
+        if skewed:
+            self.programs[name].step(self.random(f"clock of {name} {number}").randrange(SKEW_US))
         return self.programs[name]
 
     def random(self, name: str) -> random.Random:
