Add lab seeds, seed and shrink: many worlds on several cores, failing ones cut down

Need: worlds were played one by one from a test. The commands play many with progress, print coverage of fault pairs and of the life cycle's states and transitions, replay one with its trace, and cut a failing one to the fewest faults and requests. Tests: nothing of ours reads real time or chance, shrinking leaves just what still fails, six planted mistakes are found within 24 seeds.

--- a/tests/test_worlds.py
+++ b/tests/test_worlds.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import os
+import random
+import socket
 import subprocess
 import sys
+import time
+import uuid
 from pathlib import Path
+from typing import Any
 
 import msgspec
 import pytest
 
+from yardspindle.core.lifecycle import Lifecycle
 from yardspindle.lab.script import BOXES, EDGE_NAMES, FAULTS, KINDS, REQUESTS, Script, draw_script, overlapping
+from yardspindle.lab.seeds import failure, shrink
 from yardspindle.lab.worlds import play
 
 ROOT = Path(__file__).parent.parent
@@ -60,3 +68,89 @@
                          ids=lambda script: f"seed {script.seed}")
 def test_what_was_found_stays_mended(script: Script) -> None:
     assert play(script).breaks == ()
+
+
+def test_nothing_of_ours_reads_real_time_or_chance(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Libraries may (a metric notes when it was made); whatever of ours did would not be the same run again."""
+    def watched(owner: Any, name: str) -> None:
+        real = getattr(owner, name)
+
+        def call(*more: Any, **named: Any) -> Any:
+            caller = sys._getframe(1).f_globals["__name__"]
+            assert not caller.startswith("yardspindle"), f"{caller} called {owner.__name__}.{name}"
+            return real(*more, **named)
+
+        monkeypatch.setattr(owner, name, call)
+
+    for owner, names in ((time, ("time", "time_ns", "monotonic", "monotonic_ns", "perf_counter", "sleep")),
+                         (os, ("urandom", "getpid", "getrandom")), (uuid, ("uuid1", "uuid4")),
+                         (random, ("random", "randrange", "choice", "getrandbits", "shuffle")),
+                         (socket, ("socket", "create_connection"))):
+        for name in names:
+            watched(owner, name)
+    assert play(draw_script(5)).breaks == ()
+    with pytest.raises(AssertionError, match="yardspindle.planted called time.time"):
+        exec("import time; time.time()", {"__name__": "yardspindle.planted"})
+
+
+# --- shrinking
+
+def test_shrinking_leaves_just_what_still_fails() -> None:
+    script = draw_script(11)
+    one, other = script.faults[1], script.faults[3]
+    needed = script.requests[7]
+
+    def fails(candidate: Script) -> str:
+        kinds = {fault.kind for fault in candidate.faults}
+        long = any(fault.kind == other.kind and fault.for_ms > 100 for fault in candidate.faults)
+        return "rule" if {one.kind, other.kind} <= kinds and needed in candidate.requests and long else ""
+
+    said: list[str] = []
+    small = shrink(script, said.append, fails)
+    assert small.requests == (needed,) and {fault.kind for fault in small.faults} == {one.kind, other.kind}
+    assert all(fault.for_ms <= 200 for fault in small.faults if fault.kind == other.kind) and said
+    with pytest.raises(ValueError, match="breaks nothing"):
+        shrink(script, said.append, lambda _: "")
+
+
+def test_a_planted_fault_is_found_and_shrunk(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Lifecycle, "_release_state", lambda self, r: setattr(r, "state_at", None))
+    script = next(script for seed in range(20) if failure(script := draw_script(seed)))
+    rule = failure(script)
+    small = shrink(script, lambda _: None)
+    assert failure(small) == rule and len(small.requests) <= 10 and len(small.faults) <= 2
+    again = msgspec.json.decode(msgspec.json.encode(small), type=Script)
+    assert again == small
+
+
+@pytest.mark.parametrize("name", ["place_of_an_unheard_write_forgotten", "event_cut_between_reads_lost",
+                                  "unheard_releases_use_up_the_line", "place_release_forgotten",
+                                  "bad_list_taken_in_part", "deadline_later_than_the_client_said"])
+def test_a_mistake_is_found(name: str) -> None:
+    done = subprocess.run([sys.executable, "-m", "tests.planted", "--seeds", "24", "--jobs", "1", name], cwd=ROOT,
+                          capture_output=True, text=True, timeout=100, check=True)
+    assert name in done.stdout and "not found" not in done.stdout
+
+
+# --- the commands
+
+def command(*words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run([sys.executable, "-m", "yardspindle", "lab", *words], cwd=ROOT, capture_output=True,
+                          text=True, timeout=100, check=False)
+
+
+def test_seeds_seed_and_shrink_as_commands(tmp_path: Path) -> None:
+    many = command("seeds", "--first", "30", "--count", "4", "--jobs", "2")
+    assert many.returncode == 0 and "worlds played: 4" in many.stdout and "seeds that failed: 0" in many.stdout
+    one = command("seed", "30")
+    traced = command("seed", "30", "--trace")
+    assert one.returncode == 0 and one.stdout.splitlines()[-1] == "broken: 0"
+    line = next(row for row in one.stdout.splitlines() if row.startswith("trace "))
+    assert line in traced.stdout.splitlines() and '"ev":"hold state"' in traced.stdout
+    file = tmp_path / "script.json"
+    file.write_bytes(msgspec.json.encode(draw_script(30)))
+    assert line in command("seed", "--script", str(file)).stdout.splitlines()
+    file.write_text('{"seed": 1, "requests": [], "faults": [{"kind": "x", "at_ms": "soon"}]}')
+    bad = command("seed", "--script", str(file))
+    assert bad.returncode == 2 and bad.stderr.startswith(f"{file}: ") and "$.faults[0].at_ms" in bad.stderr
+    assert command("shrink", "30").stderr == "seed 30: this world breaks nothing\n"
--- a/yardspindle/cli/lab.py
+++ b/yardspindle/cli/lab.py
@@ -9,6 +9,7 @@
 import click
 
 from yardspindle.cli.common import Failure, load, set_up_logs
+from yardspindle.cli.worlds import seed_command, seeds_command, shrink_command
 from yardspindle.core.config import ConfigError, LogConfig, split_address
 from yardspindle.lab.day import DayRun, load_day
 from yardspindle.lab.fleet import small_fleet
@@ -22,6 +23,11 @@
     """The laboratory: runs on loopback that end by themselves."""
 
 
+lab_group.add_command(seeds_command)
+lab_group.add_command(seed_command)
+lab_group.add_command(shrink_command)
+
+
 @lab_group.command("day")
 @click.argument("file", type=click.Path(dir_okay=False))
 @click.option("--seed", type=int, help="Instead of the file's.")
--- /dev/null
+++ b/yardspindle/cli/worlds.py
@@ -0,0 +1,100 @@
+"""`yardspindle lab seeds`, `seed` and `shrink`: seeded worlds on the virtual clock."""
+
+from __future__ import annotations
+
+import os
+import sys
+from contextlib import closing
+
+import click
+import msgspec
+import structlog
+
+from yardspindle.cli.common import Failure, set_up_logs
+from yardspindle.core.config import LogConfig
+from yardspindle.lab import seeds
+from yardspindle.lab.script import Script, draw_script
+from yardspindle.lab.worlds import play
+
+QUIET = 50  # above every level that the programs log at
+
+
+@click.command("seeds")
+@click.option("--first", default=0, type=click.IntRange(0), help="First seed.")
+@click.option("--count", default=1_000, type=click.IntRange(1), help="How many.")
+@click.option("--jobs", default=os.cpu_count() or 1, type=click.IntRange(1, 256), help="Processes.")
+@click.option("--transitions/--no-transitions", default=True, help="Count the life cycles' steps.")
+def seeds_command(first: int, count: int, jobs: int, transitions: bool) -> None:
+    """Play many seeded worlds; exit 0 when none failed, 1 when one did. Ctrl-C stops with what there is."""
+    tally = seeds.Tally()
+    stopped = False
+    try:
+        with (closing(seeds.play_seeds(first, count, jobs, transitions)) as outcomes,
+              click.progressbar(length=count, label="worlds", file=sys.stderr) as bar):
+            for outcome in outcomes:
+                tally.add(outcome)
+                bar.update(1)
+                if outcome.breaks:
+                    click.echo(f"\nFAILED seed {outcome.seed}: {outcome.breaks[0]}", err=True)
+    except KeyboardInterrupt:
+        stopped = True
+    click.echo(tally.text())
+    if stopped:
+        click.echo(f"stopped early: {tally.played} of {count}")
+    sys.exit(1 if tally.failed else 0)
+
+
+@click.command("seed")
+@click.argument("seed", type=click.IntRange(0), required=False)
+@click.option("--script", "file", type=click.Path(dir_okay=False), help="A script's file instead of a seed.")
+@click.option("--trace", is_flag=True, help="Print all that clients and boxes see, and the programs' logs.")
+def seed_command(seed: int | None, file: str | None, trace: bool) -> None:
+    """Play one world; exit 0 when it breaks nothing, 1 when it does."""
+    script = _script(seed, file)
+    _logs(trace)
+    for fault in script.faults:
+        click.echo(str(fault))
+    outcome = play(script, click.echo if trace else None)
+    click.echo(f"trace {outcome.trace}, {outcome.virtual_ms} virtual ms, {len(script.requests)} requests")
+    for name, count in sorted(outcome.tally.items()):
+        click.echo(f"{name}: {count}")
+    for text in outcome.breaks:
+        click.echo(f"BROKEN {text}")
+    click.echo(f"broken: {len(outcome.breaks)}")
+    sys.exit(1 if outcome.breaks else 0)
+
+
+@click.command("shrink")
+@click.argument("seed", type=click.IntRange(0), required=False)
+@click.option("--script", "file", type=click.Path(dir_okay=False), help="A script's file instead of a seed.")
+def shrink_command(seed: int | None, file: str | None) -> None:
+    """Cut a failing world down to the fewest faults and requests, and print it as a script."""
+    script = _script(seed, file)
+    _logs(False)
+    try:
+        small = seeds.shrink(script, lambda text: click.echo(text, err=True))
+    except ValueError as error:
+        raise Failure(f"seed {script.seed}: {error}") from None
+    click.echo(msgspec.json.encode(small).decode())
+
+
+def _script(seed: int | None, file: str | None) -> Script:
+    if (seed is None) == (file is None):
+        raise Failure("give either a seed or --script FILE")
+    if file is None:
+        assert seed is not None
+        return draw_script(seed)
+    try:
+        with open(file, "rb") as source:
+            return msgspec.json.decode(source.read(), type=Script)
+    except OSError as error:
+        raise Failure(f"{file}: {error.strerror}") from None
+    except msgspec.DecodeError as error:
+        raise Failure(f"{file}: {error}") from None
+
+
+def _logs(trace: bool) -> None:
+    if trace:
+        set_up_logs(LogConfig(format="console", level="info"))
+    else:
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(QUIET))
--- a/yardspindle/lab/script.py
+++ b/yardspindle/lab/script.py
@@ -132,3 +132,6 @@
             if second.at_ms <= first.at_ms + first.for_ms + after_ms:
                 pairs.append((min(first.kind, second.kind), max(first.kind, second.kind)))
     return pairs
+
+
+FAULT_PAIRS = len(KINDS) * (len(KINDS) + 1) // 2
--- /dev/null
+++ b/yardspindle/lab/seeds.py
@@ -0,0 +1,150 @@
+"""Many seeded worlds: played on several cores, counted, and a failing one cut down to what still fails.
+
+A worker process plays one world after the other with the cyclic collector off but for a round every few worlds: a
+world is one large graph that is dropped whole. What a world does never depends on the worker or on what it played
+before.
+"""
+
+from __future__ import annotations
+
+import gc
+import multiprocessing
+import signal
+from collections import Counter
+from collections.abc import Callable, Generator
+from dataclasses import dataclass, field
+
+import msgspec
+import structlog
+
+from yardspindle.lab.script import FAULT_PAIRS, Fault, Script, draw_script, overlapping
+from yardspindle.lab.worlds import Outcome, play
+
+COLLECT_EVERY = 10
+CRITICAL = 50
+
+
+@dataclass(slots=True)
+class Tally:
+    """What many worlds came to."""
+
+    played: int = 0
+    failed: dict[int, str] = field(default_factory=dict)
+    pairs: Counter[tuple[str, str]] = field(default_factory=Counter)
+    transitions: Counter[str] = field(default_factory=Counter)
+    answers: Counter[str] = field(default_factory=Counter)
+    virtual_ms: int = 0
+
+    def add(self, outcome: Outcome) -> None:
+        """One more world."""
+        self.played += 1
+        if outcome.breaks:
+            self.failed[outcome.seed] = outcome.breaks[0]
+        self.pairs.update(overlapping(draw_script(outcome.seed)))
+        self.transitions.update(outcome.transitions)
+        self.answers.update(outcome.tally)
+        self.virtual_ms += outcome.virtual_ms
+
+    def text(self) -> str:
+        """For people."""
+        states = {name for step in self.transitions for name in step.split(" -> ")}
+        rows = [f"worlds played: {self.played}, {self.virtual_ms / 3_600_000:.1f} virtual hours",
+                f"pairs of faults that overlapped: {len(self.pairs)} of {FAULT_PAIRS}"]
+        if self.transitions:
+            rows.append(f"life cycle: {len(states)} states, {len(self.transitions)} transitions; the rarest: "
+                        + "; ".join(f"{step} ({count})" for step, count in self.transitions.most_common()[:-6:-1]))
+        rows += [f"{name}: {count}" for name, count in sorted(self.answers.items())]
+        rows += [f"FAILED seed {seed}: {what}" for seed, what in sorted(self.failed.items())[:50]]
+        rows.append(f"seeds that failed: {len(self.failed)}")
+        return "\n".join(rows)
+
+
+def _start_worker(quiet: bool) -> None:
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # the parent stops; a worker ends with it
+    gc.disable()
+    if quiet:
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(CRITICAL))
+
+
+def _play(job: tuple[int, bool]) -> Outcome:
+    seed, count = job
+    if seed % COLLECT_EVERY == 0:
+        gc.collect()
+    return outcome_of(draw_script(seed), count)
+
+
+def outcome_of(script: Script, count: bool = False) -> Outcome:
+    """Play a script; a run that fails itself is a finding too."""
+    try:
+        return play(script, count=count)
+    except Exception as error:
+        return Outcome(script.seed, "", (f"run: {type(error).__name__}: {error}",), {}, {}, 0, 0)
+
+
+def play_seeds(first: int, count: int, jobs: int, transitions: bool) -> Generator[Outcome, None, None]:
+    """Outcomes as they come, in any order. Closing the iterator ends the workers."""
+    jobs_of = ((seed, transitions) for seed in range(first, first + count))
+    with multiprocessing.get_context("spawn").Pool(jobs, _start_worker, (True,)) as pool:
+        yield from pool.imap_unordered(_play, jobs_of, chunksize=4)
+
+
+def shrink(script: Script, say: Callable[[str], None], fails: Callable[[Script], str] | None = None) -> Script:
+    """Fewest faults and requests that still break the same rule. Raises ValueError when nothing breaks."""
+    fails = fails or failure
+    rule = fails(script)
+    if not rule:
+        raise ValueError("this world breaks nothing")
+
+    def still(candidate: Script) -> bool:
+        assert fails is not None
+        return fails(candidate) == rule
+
+    before: Script | None = None
+    while before != script:
+        before = script
+        script = _fewer_faults(script, still)
+        script = _fewer_requests(script, still)
+        script = _shorter(script, still)
+        say(f"{rule}: {len(script.faults)} faults, {len(script.requests)} requests")
+    return script
+
+
+def failure(script: Script) -> str:
+    """The rule that a script breaks first, or nothing."""
+    breaks = outcome_of(script).breaks
+    return breaks[0].partition(":")[0] if breaks else ""
+
+
+def _fewer_faults(script: Script, still: Callable[[Script], bool]) -> Script:
+    for fault in script.faults:
+        fewer = msgspec.structs.replace(script, faults=tuple(row for row in script.faults if row is not fault))
+        if still(fewer):
+            script = fewer
+    return script
+
+
+def _fewer_requests(script: Script, still: Callable[[Script], bool]) -> Script:
+    """Cut out pieces, half of all first, then ever smaller ones."""
+    size = max(len(script.requests) // 2, 1)
+    while True:
+        at = 0
+        while at < len(script.requests):
+            fewer = msgspec.structs.replace(script, requests=script.requests[:at] + script.requests[at + size:])
+            if still(fewer):
+                script = fewer
+            else:
+                at += size
+        if size == 1:
+            return script
+        size //= 2
+
+
+def _shorter(script: Script, still: Callable[[Script], bool]) -> Script:
+    for at, fault in enumerate(script.faults):
+        while fault.for_ms > 1:
+            half: Fault = msgspec.structs.replace(fault, for_ms=fault.for_ms // 2)
+            shorter = msgspec.structs.replace(script, faults=script.faults[:at] + (half,) + script.faults[at + 1:])
+            if not still(shorter):
+                break
+            script, fault = shorter, half
+    return script
