--- a/benchmarks/prefix_hits.py
+++ b/benchmarks/prefix_hits.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import click
 import msgspec
 
 from yardspindle import Policy
@@ -169,10 +170,18 @@
     return tally
 
 
-def main() -> None:
-    for readers in SECONDS:
+@click.command()
+@click.option("--routers", default=ROUTERS, help="That read at the same boxes and know nothing of each other.")
+@click.option("--seconds", type=float, help="Of traffic, instead of the stated.")
+@click.option("--readers", type=int, multiple=True, default=tuple(SECONDS), help="Sizes to play.")
+def main(routers: int, seconds: float | None, readers: tuple[int, ...]) -> None:
+    """Play every kind of traffic in every mode."""
+    global ROUTERS
+    ROUTERS = routers
+    for size in readers:
+        SECONDS[size] = seconds or SECONDS[size]
         for kind in KINDS:
-            tallies = {mode: play(kind, readers, mode) for mode in MODES}
+            tallies = {mode: play(kind, size, mode) for mode in MODES}
             best = tallies["oracle"]
             rows = []
             for mode, tally in tallies.items():
@@ -182,7 +191,7 @@
                 of_best = rate / (best.cached / best.asked)
                 wait = mean / (sum(best.waits_us) / len(best.waits_us))
                 rows.append(f"{mode} {rate:.3f} ({of_best:.2f} of the oracle; work {work:.2f}, read time {wait:.2f})")
-            print(f"{readers} readers, {kind}: " + "; ".join(rows))
+            print(f"{size} readers, {kind}: " + "; ".join(rows))
 
 
 if __name__ == "__main__":
--- a/tests/test_prefix.py
+++ b/tests/test_prefix.py
@@ -290,6 +290,19 @@
     assert feed.counts.lost == 1 and feed.last == publisher.number - 1
 
 
+def test_a_replay_that_brings_what_waited_does_not_go_back_to_it() -> None:
+    publisher, index = Publisher(), PrefixIndex(10_000)
+    for number in range(10):
+        publisher.read([number] * SIZE)
+    feed = CacheFeed("a", index, SIZE)
+    feed.take(0, *publisher.sent[0])
+    assert feed.take(0, *publisher.sent[4]) == 1 and feed.take(0, *publisher.sent[5]) is None
+    feed.replayed(0, [(number, msgspec.msgpack.decode(msgspec.msgpack.encode(batch), type=Batch))
+                      for number, batch in publisher.sent[1:]])
+    assert (feed.last, feed.counts.lost, feed.trust(0)) == (9, 0, 1.0)
+    assert feed.take(0, *publisher.sent[9]) is None and feed.counts.repeats == 1
+
+
 def test_batches_are_vllms_bytes() -> None:
     """Laid out by hand as vLLM's encoder does: arrays, the tag first; later fields are passed over."""
     data = msgspec.msgpack.encode([1.5, [["BlockStored", [11, b"x"], None, [1] * 8, 4, None, "GPU"],
--- a/tests/test_prefix_path.py
+++ b/tests/test_prefix_path.py
@@ -9,6 +9,7 @@
 
 import msgspec
 import pytest
+import zmq
 
 from tests.fleet_thread import FleetThread
 from yardspindle import Policy
@@ -19,6 +20,8 @@
 from yardspindle.lab.clients import ClientClass, Clients, Habits, draw
 from yardspindle.lab.day import read_lines
 from yardspindle.lab.engine import Engine, EngineSettings
+from yardspindle.runtime import zeromq
+from yardspindle.runtime.real import RealWorld
 
 CLASSES = (ClientClass("chat", 0.5, 2_900.0, 6), ClientClass("order", 0.5, 2_900.0, 6))
 HABITS = Habits(hang_up=0.05, stop_reading=0.0, openings=6, opening_words=300, words=30, whole=0.2)
@@ -187,3 +190,45 @@
     packed = bytearray(4 * len(text))
     packed[::4] = text
     assert chain(bytes(packed), 64) == chain(pack(list(text)), 64)
+
+
+def test_a_subscriber_so_slow_that_messages_are_dropped_makes_up_for_them(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    real = RealWorld.messages
+
+    def messages(self: RealWorld, kind: Any, *more: Any) -> Any:
+        monkeypatch.setattr(zeromq, "HELD_MOST", 2 if kind in ("pub", "sub") else 10_000)
+        made: Any = real(self, kind, *more)
+        if kind == "pub":
+            made._socket.setsockopt(zmq.SNDBUF, 4_096)  # else the kernel alone holds megabytes
+        return made
+
+    monkeypatch.setattr(RealWorld, "messages", messages)
+    with FleetThread(tmp_path, boxes=BOXES[2:]) as fleet:
+        reader, knowledge = fleet.engines[0], fleet.edge.knowledge
+        assert knowledge is not None
+        play(fleet, 5)  # the subscription stands
+
+        def burst(batches: int) -> bool:
+            """The edge's task cannot run meanwhile: the library's queues and the kernel's buffers fill."""
+            rng = random.Random(batches)
+            for _ in range(batches):
+                packed = rng.randbytes(4 * 64 * 20)
+                reader.cache.keep(reader.cache.hashes(packed), packed)
+            return True
+
+        assert fleet.call(lambda: burst(300))
+        feed, looks = knowledge.feeds["r2"], 0
+
+        def caught_up() -> bool:
+            """Engines go on telling, and what comes next shows the gap."""
+            nonlocal looks
+            looks += 1
+            if looks % 100 == 0:
+                burst(1)
+            return feed.last == reader.cache.buffer[-1][0] and feed.trust(fleet.world.now_us()) == 1.0
+
+        fleet.until(caught_up)
+        assert feed.counts.gaps > 0, "nothing was dropped: the burst is too small"
+        assert knowledge.index.held_by("r2") == len(reader.cache.blocks)
+        assert feed.counts.lost == 0
--- a/yardspindle/core/cache_feed.py
+++ b/yardspindle/core/cache_feed.py
@@ -127,6 +127,9 @@
         for number, batch in batches:
             if self.last is None or number == self.last + 1:
                 self._apply(now_us, number, batch)
+        if self.last is not None:
+            for number in [number for number in self._early if number <= self.last]:
+                del self._early[number]  # the replay brought it; to apply it again would go back to it
         self._go_on(now_us)
         if self._early:
             self._skip(now_us)
