Take a silent planner for lost, and settle at once what needs it

Need: a planner that hung, or a link cut in one direction, was found only by each request's own deadline, and new requests were taken meanwhile. Every batch of events is answered; one that is not for edge.planner_silent_ms, counted only while the edge itself ran, cuts the link. Shown on sockets and in worlds (stalled, cut up, cut down: no request left to its deadline; five stalls of an edge blame no planner); the tests fail with the look taken out.

--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -44,7 +44,7 @@
         self.link = PlannerLink(
             world, ("127.0.0.1", self.listener.port), lambda: HELLO, lambda epoch: self.log.append(f"up {epoch}"),
             lambda: self.log.append("down"), lambda servers: self.log.append(f"servers {len(servers)}"),
-            lambda epoch, actions: self.log.append(f"{epoch}: {actions}"))
+            lambda epoch, actions: self.log.append(f"{epoch}: {actions}"), 1_000_000)
         self.task = world.spawn("link", self.link.run)
 
     def accept(self) -> None:
--- /dev/null
+++ b/tests/test_pulse.py
@@ -0,0 +1,111 @@
+"""A planner that hangs without closing its link: the pulse by itself, in the router, and on the virtual World."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+from typing import Any
+
+import openai
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.fleet_thread import FleetThread
+from yardspindle.core.pulse import OWN_STALL_US, Pulse
+from yardspindle.lab.script import Fault, Script
+from yardspindle.lab.worlds import VirtualFleet
+
+SILENT_US = 1_000_000
+STEP = st.tuples(st.integers(1, 2 * OWN_STALL_US), st.sampled_from(["send", "answer", "answer one", "look"]))
+
+
+@given(st.lists(STEP, max_size=80))
+def test_silence_is_the_oldest_batch_waiting_while_the_edge_ran(steps: list[tuple[int, str]]) -> None:
+    """Against a plain account: every batch with the time that passed over it in steps that were no stall."""
+    pulse, now, number = Pulse(SILENT_US), 0, 0
+    pulse.begin(now)
+    waited: dict[int, int] = {}
+    for passed, what in steps:
+        now += passed
+        for known in waited:
+            waited[known] += passed if passed <= OWN_STALL_US else 0
+        if what == "send":
+            number += 1
+            pulse.sent(now, number)
+            waited[number] = 0
+        elif what == "answer one" and waited:
+            pulse.answered(now, min(waited))
+            del waited[min(waited)]
+        elif what == "answer":
+            pulse.answered(now, number)
+            waited.clear()
+        assert pulse.silent(now) == any(us > SILENT_US for us in waited.values())
+
+
+def test_a_new_link_starts_with_nothing_out() -> None:
+    pulse = Pulse(SILENT_US)
+    pulse.begin(0)
+    pulse.sent(0, 1)
+    for now in range(0, 2 * SILENT_US, 20_000):
+        pulse.silent(now)
+    assert pulse.silent(2 * SILENT_US)
+    pulse.begin(2 * SILENT_US)
+    assert not pulse.silent(2 * SILENT_US)
+
+
+def test_a_planner_that_takes_events_and_decides_nothing_is_lost_at_once(tmp_path: Path) -> None:
+    with FleetThread(tmp_path, {"edge": {"planner_silent_ms": 200.0}}) as fleet:
+        client = openai.OpenAI(base_url=fleet.url, api_key="none-needed", max_retries=0)
+        ask: Any = {"model": "yardspindle-demo", "messages": [{"role": "user", "content": "x"}], "max_tokens": 1}
+        assert client.chat.completions.create(**ask).choices
+        epoch = fleet.edge.core.epoch
+
+        def hang() -> None:
+            for session in fleet.planner.sessions:
+                session.take = lambda frame: None  # type: ignore[method-assign]
+
+        fleet.call(hang)
+        began = time.monotonic()
+        with pytest.raises(openai.InternalServerError) as caught:
+            client.chat.completions.create(**ask)
+        assert (caught.value.status_code, caught.value.code) == (503, "planner_lost")
+        assert caught.value.response.headers["retry-after-ms"]
+        assert time.monotonic() - began < 2.0, "not at its deadline of three seconds"
+        fleet.until(lambda: fleet.edge.core.epoch != 0)
+        assert client.chat.completions.create(**ask).choices
+        assert fleet.edge.core.epoch == epoch, "the same planner, on another link"
+        assert fleet.edge.core.watch.last is None
+
+
+@pytest.mark.parametrize("kind", ["planner stalls", "link cut up", "link cut down"])
+def test_while_a_planner_hangs_requests_are_refused_and_not_left_to_their_deadlines(kind: str) -> None:
+    faults = tuple(Fault(kind, 500, 6_000, on) for on in (("",) if kind == "planner stalls" else ("edge0", "edge1")))
+    script = Script(1, tuple((number, 100 * number) for number in range(50)), faults)
+    lines: list[str] = []
+    fleet = VirtualFleet(script, lines.append)
+    outcome = fleet.play()
+    assert outcome.breaks == () and outcome.tally["refused"] > 20
+    assert outcome.tally["served"] > 5
+    late = [edge.edge.core.life.tally.interlocks.get("answer overdue", 0)
+            for edge in fleet._edges.values() if edge.edge is not None]
+    assert late == [0, 0], "no request had to wait for its own deadline"
+
+
+def test_an_edge_that_stalled_itself_does_not_blame_its_planner() -> None:
+    script = Script(2, tuple((number, 15 * number) for number in range(400)), tuple(
+        Fault("edge stalls", at_ms, 1_200, "edge0") for at_ms in range(300, 6_000, 1_300)))
+    fleet = VirtualFleet(script)
+    lost: list[int] = []
+    start = fleet.start_edge
+
+    def watched(name: str) -> None:
+        start(name)
+        edge = fleet._edges[name].edge
+        assert edge is not None
+        down = edge.link._on_down
+        edge.link._on_down = lambda: (lost.append(fleet.sim.now_us()), down())[1]  # type: ignore[func-returns-value]
+
+    fleet.start_edge = watched  # type: ignore[method-assign]
+    assert fleet.play().breaks == ()
+    assert all(at == fleet.sim.now_us() for at in lost), "only when the run ended"
--- a/yardspindle/core/config.py
+++ b/yardspindle/core/config.py
@@ -89,6 +89,7 @@
     header_ms: Positive = 10_000.0
     stalled_client_ms: Positive = 15_000.0
     drain_ms: NotNegative = 30_000.0
+    planner_silent_ms: Positive = 1_000.0
     connect_ms: Positive = 1_000.0
     engine_idle_ms: Positive = 4_000.0
     stalled_stream_ms: Positive = 30_000.0
--- a/yardspindle/edge/app.py
+++ b/yardspindle/edge/app.py
@@ -59,7 +59,7 @@
         self.events = CacheEvents(world, self.knowledge) if self.knowledge is not None else None
         self.link = PlannerLink(
             world, split_address(edge.planner), self._hello, self._planner_up, self._planner_down,
-            self._servers, self._actions)
+            self._servers, self._actions, microseconds(edge.planner_silent_ms))
         self.executor = Executor(world, self.core, EngineClient(self.http, self.unique), self.metrics,
                                  self.intake, microseconds(edge.stalled_stream_ms), self.link.tell,
                                  self.knowledge)
@@ -96,6 +96,7 @@
         while True:
             now = self.world.now_us()
             self.world.sleep_until(now + TICK_US)
+            self.link.look(self.world.now_us())
             if self.core.busy:
                 self.executor.perform(self.core.tick(self.world.now_us()))
             if now - closed_us > CLOSE_OLD_US:
--- a/yardspindle/edge/planner_link.py
+++ b/yardspindle/edge/planner_link.py
@@ -12,6 +12,7 @@
 
 from yardspindle import interface as i
 from yardspindle.core.directory import Server
+from yardspindle.core.pulse import Pulse
 from yardspindle.link import frames
 from yardspindle.runtime.scheduler import DeadlineExceeded
 from yardspindle.runtime.world import ConnectError, Stream, StreamError, World
@@ -31,8 +32,10 @@
     def __init__(self, world: World, address: tuple[str, int], hello: Callable[[], frames.Hello],
                  on_up: Callable[[int], None], on_down: Callable[[], None],
                  on_servers: Callable[[list[Server]], None],
-                 on_actions: Callable[[int, list[i.Action]], None]) -> None:
-        """`on_up` and `on_actions` are told the planner's epoch; `on_down` comes once after each `on_up`."""
+                 on_actions: Callable[[int, list[i.Action]], None], silent_us: int) -> None:
+        """`silent_us`: how long a planner may take to answer a batch of events before it is taken for lost.
+
+        `on_up` and `on_actions` are told the planner's epoch; `on_down` comes once after each `on_up`."""
         self._world = world
         self._address = address
         self._hello = hello
@@ -40,6 +43,7 @@
         self._on_down = on_down
         self._on_servers = on_servers
         self._on_actions = on_actions
+        self._pulse = Pulse(silent_us)
         self._pending: list[i.Event] = []
         self._wake = world.channel(1)
         self._stream: Stream | None = None
@@ -60,6 +64,13 @@
         if not len(self._wake):
             self._wake.try_put(None)
 
+    def look(self, now_us: int) -> None:
+        """Cut a link whose planner no longer answers; the reading side settles what it had decided."""
+        if self._stream is not None and self._pulse.silent(now_us):
+            log.error("planner is silent; the link is cut", answered=self.answered, told=self._number)
+            self._pulse.begin(now_us)
+            self._stream.abort()
+
     def run(self) -> None:
         """Keep the link until cancelled."""
         pause_us = RETRY_FIRST_US
@@ -88,6 +99,7 @@
             log.warning("greeting failed", reason=str(error) or "no answer in time")
             return False
         self._pending.clear()
+        self._pulse.begin(self._world.now_us())
         self._stream = stream
         sender = None
         try:
@@ -128,6 +140,7 @@
     def _take(self, epoch: int, frame: frames.Frame) -> None:
         if isinstance(frame, frames.Actions):
             self.answered = frame.answers
+            self._pulse.answered(self._world.now_us(), frame.answers)
             self._on_actions(epoch, [frames.original(action) for action in frame.actions])
         elif isinstance(frame, frames.Servers):
             self._on_servers(frame.servers)
@@ -143,6 +156,7 @@
                 while self._pending and self._stream is stream:
                     events, self._pending = self._pending, []
                     self._number += 1
+                    self._pulse.sent(self._world.now_us(), self._number)
                     stream.write(frames.encode(frames.Events(
                         self._number, self._world.now_us(), [frames.mirror(event) for event in events])))
         except (StreamError, frames.LinkError):
--- a/yardspindle/lab/audit.py
+++ b/yardspindle/lab/audit.py
@@ -104,7 +104,8 @@
         self._attempts: dict[tuple[str, str], list[int]] = {}
         self._stages: dict[str, str] = {}
         self._holds: dict[tuple[str, str], _Hold] = {}
-        self._blind: dict[str, Spans] = defaultdict(list)  # by box: when it could not be told anything
+        self._blind: dict[str, Spans] = defaultdict(list)  # by box: when nothing could reach it
+        self._hung: dict[str, Spans] = defaultdict(list)  # by box: when it answered nothing
         self._said: set[tuple[str, str]] = set()  # holds and attempts whose break was told
         self._for: dict[str, str] = {}  # by attempt: the try that it is for
         self._left: dict[str, int] = {}  # tries whose client hung up: when
@@ -251,7 +252,7 @@
             case "expire":
                 hold = self._holds.get((box, name))
                 since = hold.since if hold is not None else t
-                excused = self._spans(self._blind[box], since, t) or self._spans(self._away[_edge_of(name)], since, t)
+                excused = self._spans(self._deaf(box), since, t) or self._spans(self._away[_edge_of(name)], since, t)
                 if not excused:  # else nobody could tell it to let go
                     report.broke("nothing left pinned", f"{name} lapsed at {box}")
                 self._let_go(box, name, t)
@@ -271,9 +272,9 @@
     def _control(self, box: str, do: str, t: int) -> None:
         match do:
             case "hang":
-                self._blind[box].append([t, FOREVER])
+                self._hung[box].append([t, FOREVER])
             case "wake":
-                self._see(box, t)
+                _close(self._hung[box], t)
             case "listed_draining":
                 self._draining[box] = t
                 self.report.named["drains"] += 1
@@ -302,8 +303,7 @@
             self._attempts.pop(key)[1] = t
             part = "stream" if key[1] in self._lab_of else "read" if self._stages[key[1]] == "read" else "move"
             self.report.named[f"attempts whose box died mid-{part}"] += 1
-        for span in self._blind[box]:
-            span[1] = min(span[1], t)
+        _close(self._hung[box], t)
 
     # --- rule 5: a state or place without an attempt out is used or let go in time
 
@@ -317,7 +317,7 @@
         hold = self._holds[(box, name)]
         away = self._away[_edge_of(name)]
         left = self._figures.hold_ms * 1.1 * 1_000 + self._slack_us
-        blind = [span for spans in self._blind.values() for span in spans]
+        blind = [span for by_box in (self._blind, self._hung) for spans in by_box.values() for span in spans]
         free = _uncovered(hold.since, t, self._out[_request(name)] + blind + away)
         orphaned = t - hold.since > left and away and away[-1][1] == FOREVER and not blind
         if (free > self._figures.release_ms * 1_000 + self._slack_us or orphaned) and (box, name) not in self._said:
@@ -330,11 +330,15 @@
         if left_us is None or (box, name) in self._said:
             return
         told_us = max(left_us, since)
-        free = _uncovered(told_us, now_us, self._blind[box] + self._away[_edge_of(name)])
+        free = _uncovered(told_us, now_us, self._deaf(box) + self._away[_edge_of(name)])
         if free > self._figures.left_ms * 1_000 + self._slack_us:
             self._said.add((box, name))
             self.report.broke("nothing left pinned", f"{name} at {box} goes on {free} us after its client left")
 
+    def _deaf(self, box: str) -> Spans:
+        """When it could not be told to let go."""
+        return self._blind[box] + self._hung[box]
+
     @staticmethod
     def _spans(spans: Spans, start: int, end: int) -> bool:
         return any(a <= end and b >= start for a, b in spans)
--- a/yardspindle/lab/troubles.py
+++ b/yardspindle/lab/troubles.py
@@ -7,8 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from yardspindle.lab.script import BOXES, EDGE_NAMES, Fault
@@ -29,19 +28,10 @@
     """Let it happen; returns when it is over."""
     sim = fleet.sim
     sim.scheduler.sleep_until(fleet.started_us + fault.at_ms * 1_000)
-    with _trouble(fleet, fault):
-        sim.scheduler.sleep_until(sim.now_us() + fault.for_ms * 1_000)
-
-
-@contextmanager
-def _trouble(fleet: VirtualFleet, fault: Fault) -> Iterator[None]:
-    make = _MAKERS[fault.kind]
-    undo = make(fleet, fault)
-    try:
-        yield
-    finally:
-        if undo is not None:
-            undo()
+    undo = _MAKERS[fault.kind](fleet, fault)
+    sim.scheduler.sleep_until(sim.now_us() + fault.for_ms * 1_000)
+    if undo is not None:  # not when the run is stopped meanwhile: nothing may start anew then
+        undo()
 
 
 Undo = Callable[[], None] | None
@@ -81,8 +71,8 @@
     fleet.line(ev="blind", box=fault.on, id="")
 
     def undo() -> None:
+        fleet.line(ev="seen", box=fault.on, id="")
         if world.alive:
-            fleet.line(ev="seen", box=fault.on, id="")
             world.resume()
 
     return undo
