--- a/yardspindle/api/serving.py
+++ b/yardspindle/api/serving.py
@@ -27,6 +27,9 @@
     idle_us: int = 75_000_000
     header_us: int = 10_000_000
     stalled_us: int = 15_000_000
+    fresh_us: int = 75_000_000  # how long a connection may bring nothing at all
+    body_us: int = 15_000_000
+    most: int = 0  # connections at a time; 0: no bound. Past it the one that has been idle longest is closed
 
 
 @dataclass(slots=True)
@@ -139,7 +142,9 @@
         self._limits = limits
         self._on_fault = on_fault
         self._connections: dict[Task, bool] = {}  # and whether it is between requests
+        self._idle: dict[Task, None] = {}  # those that are, the longest idle first
         self.draining = False
+        self.closing = False  # answers say that their connection closes
 
     @property
     def connections(self) -> int:
@@ -153,9 +158,27 @@
                 stream = self.listener.accept()
             except Closed:
                 return
+            if self._limits.most and len(self._connections) >= self._limits.most and not self._make_room():
+                stream.abort()
+                continue
             task = self._world.spawn("connection", self._connection, stream)
             self._connections[task] = False
 
+    def _make_room(self) -> bool:
+        oldest = next(iter(self._idle), None)
+        if oldest is None:
+            return False
+        del self._idle[oldest]
+        self._connections.pop(oldest, None)
+        oldest.cancel()
+        return True
+
+    def close_idle(self) -> None:
+        """Close what is between requests; what is not closes after its answer."""
+        self.closing = True
+        for task in list(self._idle):
+            task.cancel()
+
     def drain(self, until_us: int) -> None:
         """Accept nothing more, close idle connections, wait for answers under way, then cut off."""
         self.draining = True
@@ -173,11 +196,11 @@
 
     def _connection(self, stream: Stream) -> None:
         task = self._world.current()
-        self._connections.setdefault(task, False)
         parser = http1.RequestParser(limits=self._limits.http)
+        first = True
         try:
-            while self._one(stream, parser, task):
-                pass
+            while self._one(stream, parser, task, first):
+                first = False
         except (StreamError, DeadlineExceeded):
             pass
         except Exception as fault:
@@ -186,15 +209,16 @@
         finally:
             stream.close()
             self._connections.pop(task, None)
+            self._idle.pop(task, None)
 
-    def _one(self, stream: Stream, parser: http1.RequestParser, task: Task) -> bool:
+    def _one(self, stream: Stream, parser: http1.RequestParser, task: Task, first: bool) -> bool:
         """Serve one request; whether another may follow."""
         try:
-            head = self._read_head(stream, parser, task)
+            head = self._read_head(stream, parser, task, first)
             if head is None:
                 return False
             exchange = Exchange(self._world, stream, head,
-                                lambda: not self.draining and http1.keeps_alive(head))
+                                lambda: not (self.draining or self.closing) and http1.keeps_alive(head))
             reply = self._handler.early(head)
             if reply is None:
                 if http1.has_token(head.headers, b"expect", b"100-continue") and head.minor:
@@ -225,15 +249,19 @@
             raise StreamError("the handler left its request unanswered")
         return exchange.keep() and not exchange.gone
 
-    def _read_head(self, stream: Stream, parser: http1.RequestParser, task: Task) -> http1.RequestHead | None:
+    def _read_head(self, stream: Stream, parser: http1.RequestParser, task: Task,
+                   first: bool) -> http1.RequestHead | None:
         event = parser.next_event()
         if event is None and not parser.buffered:
             if self.draining:
                 return None
             self._connections[task] = True
-            with self._world.deadline(self._world.now_us() + self._limits.idle_us):
+            self._idle[task] = None
+            patience_us = self._limits.fresh_us if first else self._limits.idle_us
+            with self._world.deadline(self._world.now_us() + patience_us):
                 data = stream.read()
             self._connections[task] = False
+            self._idle.pop(task, None)
             if not data:
                 return None
             parser.feed(data)
@@ -247,7 +275,7 @@
 
     def _read_body(self, stream: Stream, parser: http1.RequestParser) -> bytes:
         pieces: list[bytes] = []
-        with self._world.deadline(self._world.now_us() + self._limits.stalled_us):
+        with self._world.deadline(self._world.now_us() + self._limits.body_us):
             while True:
                 event = parser.next_event()
                 if isinstance(event, http1.Data):
--- a/yardspindle/core/commands.py
+++ b/yardspindle/core/commands.py
@@ -9,6 +9,7 @@
 from yardspindle import interface as i
 from yardspindle.core.directory import Server
 from yardspindle.core.releases import Owed
+from yardspindle.core.rooms import Room
 
 
 class Final(Enum):
@@ -71,6 +72,14 @@
     server: Server
 
 
+@dataclass(frozen=True, slots=True)
+class ReleaseAll:
+    """Let go of every state and place that any engine holds for a request; `again`: more may come to be held."""
+
+    request: int
+    again: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Abort:
     """Stop an attempt: close its connection; nothing more is heard of it."""
@@ -119,6 +128,14 @@
     owed: Owed
 
 
+@dataclass(frozen=True, slots=True)
+class Free:
+    """Ask an engine to let go of all that is held for a request anywhere, and report whether it heard."""
+
+    room: Room
+    server: Server
+
+
 @dataclass(frozen=True, slots=True)
 class Broken:
     """The watch found a rule broken: for the log and the metrics."""
@@ -128,5 +145,5 @@
     text: str
 
 
-Command = (Read | Write | AskPlace | ReleaseState | ReleasePlace | Abort | Answer | CloseIdle | TellPlanner
-           | Warn | Release | Broken)
+Command = (Read | Write | AskPlace | ReleaseState | ReleasePlace | ReleaseAll | Abort | Answer | CloseIdle
+           | TellPlanner | Warn | Release | Free | Broken)
--- a/yardspindle/core/edge_core.py
+++ b/yardspindle/core/edge_core.py
@@ -13,6 +13,7 @@
 from yardspindle.core.directory import Server
 from yardspindle.core.lifecycle import EdgeRules, Lifecycle
 from yardspindle.core.releases import Owed, Releases, Thing
+from yardspindle.core.rooms import Room, Rooms
 from yardspindle.core.rules import RuleWatch
 
 
@@ -24,6 +25,7 @@
         self.life = Lifecycle(rules)
         self.watch = RuleWatch(rules)
         self.releases = Releases()
+        self.rooms = Rooms()
 
     @property
     def epoch(self) -> int:
@@ -33,7 +35,7 @@
     @property
     def busy(self) -> bool:
         """Whether time has to be looked at."""
-        return bool(self.life.open) or bool(self.releases.owed)
+        return bool(self.life.open) or bool(self.releases.owed) or bool(self.rooms.owed)
 
     def planner_up(self, now_us: int, epoch: int) -> list[c.Command]:
         """A planner decides from now on."""
@@ -91,6 +93,11 @@
         self.releases.settled(now_us, owed, heard)
         return self._due(now_us)
 
+    def room_settled(self, now_us: int, room: Room, server: int, heard: bool) -> list[c.Command]:
+        """An engine let go of all that was held for a request, or was not heard."""
+        self.rooms.settled(now_us, room, server, heard)
+        return self._due(now_us)
+
     def _out(self, now_us: int, commands: list[c.Command]) -> list[c.Command]:
         allowed = self.watch.check(now_us, commands)
         if len(allowed) < len(commands):
@@ -104,14 +111,23 @@
                     self.releases.owe(now_us, server, Thing.STATE, request, attempt)
                 case c.ReleasePlace(request, place, server):
                     self.releases.owe(now_us, server, Thing.PLACE, request, place)
+                case c.ReleaseAll(request, again):
+                    self.rooms.owe(now_us, request, again)
+                case c.Read() | c.Write():
+                    self.rooms.in_use(command.request)
+                    out.append(command)
                 case _:
                     out.append(command)
         return [*out, *self._due(now_us), *self._broken()]
 
     def _due(self, now_us: int) -> list[c.Command]:
-        if not self.releases.owed:
-            return []
-        return [c.Release(owed) for owed in self.releases.take_due(now_us)]
+        due: list[c.Command] = []
+        if self.releases.owed:
+            due += [c.Release(owed) for owed in self.releases.take_due(now_us)]
+        if self.rooms.owed:
+            due += [c.Free(room, server)
+                    for room, server in self.rooms.take_due(now_us, self.life.directory.servers)]
+        return due
 
     def _broken(self) -> list[c.Command]:
         return [c.Broken(found.rule, found.request, found.text) for found in self.watch.take_breaks()]
--- a/yardspindle/core/lifecycle.py
+++ b/yardspindle/core/lifecycle.py
@@ -21,7 +21,7 @@
 from yardspindle import interface as i
 from yardspindle.core import commands as c
 from yardspindle.core.directory import Directory, Server
-from yardspindle.core.proof import harmless_to_repeat, may_have_run
+from yardspindle.core.proof import PROVES_NOT_RUN, harmless_to_repeat, may_have_run
 
 PINNED_PART = 0.75  # of the release time: after it the edge lets go itself; the policy acts at half
 
@@ -38,6 +38,7 @@
     max_attempts: int
     most_open: int
     writers_read: bool = False
+    release_whole: bool = False  # engines let go of all that is held for a request together, and of nothing less
 
 
 @dataclass(slots=True)
@@ -77,6 +78,8 @@
     state_at: Server | None = None
     place: Place | None = None
     places: int = 0
+    held: bool = False  # `release_whole`: a state or place may be held for it somewhere
+    unsure: bool = False  # and a read's connection was closed without its word: its state may come after a release
     idle_since_us: int = 0  # since when no attempt is out
 
 
@@ -224,7 +227,8 @@
         if send.timeout_us:
             until_us = min(until_us, now_us + send.timeout_us)
         if server.role is i.Role.READ:
-            self._release_state(r)
+            if not self.rules.release_whole:  # else what an earlier read left is let go of with what this one leaves
+                self._release_state(r)
             self._commands.append(c.Read(send.request, number, server, until_us))
             return
         place = r.place
@@ -265,6 +269,7 @@
             return  # asked nowhere: as at a writer that cannot be heard, no note comes
         r.places += 1
         r.place = Place(r.places, server)
+        r.held = True
         self._commands.append(c.AskPlace(
             ahead.request, r.places, server, r.ask.prompt_tokens, r.out.server, r.out.number))
 
@@ -290,9 +295,13 @@
         r = self.open.get(request)
         place = r.place if r is not None else None
         if r is None or place is None or place.number != number:
-            if held is not False:
+            if held is not False and not self.rules.release_whole:
                 self._commands.append(c.ReleasePlace(request, number, server))
+            elif held is not False and r is None:
+                self._commands.append(c.ReleaseAll(request, False))
             return self._take()
+        if held is None and self.rules.release_whole:
+            return self._take()  # it may be held: a write there will take it, and the end lets go of it
         if held is None:
             self._release_place(r)
             self._commands.append(c.ReleasePlace(request, number, server))
@@ -310,7 +319,7 @@
         if r is None or r.final is not None or r.out is None or r.out.number != number:
             return False
         r.streaming = True
-        r.state, r.state_at = None, None  # the writer has fetched it
+        r.state, r.state_at, r.held = None, None, False  # the writer has fetched it, and what else was held is gone
         self._tell(r, i.First(request, number, r.out.server.number, now_us - r.out.sent_us))
         return True
 
@@ -328,7 +337,11 @@
         r.idle_since_us = now_us
         r.ran = r.ran or may_have_run(out.server.role, status)
         if status is i.Status.READ:
-            r.state, r.state_at, r.state_attempt = state, out.server, number
+            r.state, r.state_at, r.state_attempt, r.held = state, out.server, number, True
+        elif out.server.role is i.Role.READ and self.rules.release_whole:
+            r.unsure = status not in PROVES_NOT_RUN
+            r.held = r.held or r.unsure
+            self._release(r)
         elif out.server.role is i.Role.READ:  # it may still be reading, or hold a state that we never heard of
             self._commands.append(c.ReleaseState(request, number, out.server))
         elif note == 1:
@@ -356,7 +369,7 @@
             elif r.final is None and not r.streaming and now_us >= r.ask.expires_us + self.rules.answer_slack_us:
                 self._interlock(r, "answer overdue")
                 self._answer(now_us, r, c.Final.FAILED, "deadline")
-            elif (r.out is None and (r.state_at is not None or r.place is not None)
+            elif (r.out is None and (r.state_at is not None or r.place is not None or r.held)
                     and now_us - r.idle_since_us > PINNED_PART * self.rules.release_us):
                 self._interlock(r, "held too long")
                 self._release(r)
@@ -408,14 +421,19 @@
         self._commands.append(c.Abort(r.ask.request, out.number))
         if not r.streaming:
             self._untaken(r, out)
-        if out.server.role is i.Role.READ:
+        if out.server.role is i.Role.READ and self.rules.release_whole:
+            r.held = r.unsure = True  # it may end well just as it is called off
+            self._release(r)
+        elif out.server.role is i.Role.READ:
             self._commands.append(c.ReleaseState(r.ask.request, out.number, out.server))
         self._tell(r, i.Outcome(r.ask.request, out.number, out.server.number, i.Status.CANCELLED,
                                 now_us - out.sent_us, r.final is not None))
 
     def _untaken(self, r: Open, out: Attempt) -> None:
         """A write ended without the writer's word that it had come: its place may still be held there."""
-        if out.place is not None:
+        if self.rules.release_whole:
+            r.held = r.held or out.place is not None
+        elif out.place is not None:
             self._commands.append(c.ReleasePlace(r.ask.request, out.place, out.server))
 
     def _forget_if_done(self, r: Open) -> None:
@@ -424,10 +442,18 @@
 
     def _release(self, r: Open) -> None:
         """Let go of all that no attempt waits on."""
+        if self.rules.release_whole:
+            return self._release_all(r)
         if r.out is None or r.out.server.role is i.Role.READ:
             self._release_state(r)
         self._release_place(r)
 
+    def _release_all(self, r: Open) -> None:
+        """One word lets go of everything; none while a write is out, since it would take the state from under it."""
+        if r.held and (r.out is None or r.out.server.role is i.Role.READ):
+            self._commands.append(c.ReleaseAll(r.ask.request, r.unsure))
+            r.state, r.state_at, r.place, r.held, r.unsure = None, None, None, False, False
+
     def _release_state(self, r: Open) -> None:
         if r.state_at is not None:
             self._commands.append(c.ReleaseState(r.ask.request, r.state_attempt, r.state_at))
@@ -435,7 +461,7 @@
 
     def _release_place(self, r: Open) -> None:
         """A place whose answer is still out is let go when that comes (`place_answered`)."""
-        if r.place is not None and r.place.held:
+        if r.place is not None and r.place.held and not self.rules.release_whole:
             self._commands.append(c.ReleasePlace(r.ask.request, r.place.number, r.place.server))
         r.place = None
 
--- a/yardspindle/core/rules.py
+++ b/yardspindle/core/rules.py
@@ -84,6 +84,8 @@
         if (known := self.open.get(request)) is not None:
             known.streaming = True
             known.state = None
+            if self._rules.release_whole:
+                known.places.clear()
 
     def ended(self, now_us: int, request: int, attempt: int, status: i.Status, note: int) -> None:
         """An attempt ended by itself."""
@@ -133,6 +135,11 @@
                 known = self._known(request)
                 if known is not None:
                     known.places.pop(place, None)
+            case c.ReleaseAll(request):
+                known = self._known(request)
+                if known is not None:
+                    known.state = None
+                    known.places.clear()
             case c.Answer():
                 return self._answer(now_us, command)
             case _:
@@ -152,6 +159,8 @@
         if closed_us is not None and now_us > closed_us + self._rules.drain_grace_us:
             return self._broken("drains kept", command.request, f"an attempt at {command.server.name}")
         known.out[command.attempt] = write, command.server.name
+        if write and self._rules.release_whole:  # a send to another writer gives a place up
+            known.places = {n: at for n, at in known.places.items() if at == command.server.name}
         if isinstance(command, c.Write) and command.place is not None:
             known.places.pop(command.place, None)
             known.riding[command.attempt] = command.place, command.server.name
--- a/yardspindle/engine/http_client.py
+++ b/yardspindle/engine/http_client.py
@@ -7,16 +7,23 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from yardspindle.protocol import http1
 from yardspindle.runtime.world import ConnectError, Stream, StreamError, World
 
-IDLE_MOST = 64  # connections kept for each server; more than that are opened and closed as they come
+IDLE_MOST = 64  # connections kept for each server unless told otherwise; others are closed after their use
 
 
 class ExchangeBroken(Exception):
-    """The connection broke, or spoke no HTTP, after the request or a part of it was sent."""
+    """The connection broke, or spoke no HTTP (`spoilt`), after the request or a part of it was sent."""
+
+    spoilt = False
+
+
+class NotSent(ExchangeBroken):
+    """The connection broke before the request's last byte was written."""
 
 
 @dataclass(slots=True)
@@ -81,12 +88,14 @@
     world: World
     connect_us: int
     idle_us: int
+    idle_most: int = IDLE_MOST
+    limits: http1.Limits = field(default_factory=http1.Limits)
     counts: Counts = field(default_factory=Counts)
     _idle: dict[tuple[str, int], deque[Connection]] = field(default_factory=dict)
 
     def request(self, host: str, port: int, method: bytes, target: bytes, headers: http1.Headers,
-                body: bytes = b"") -> Response:
-        """Send a request and wait for the response's head.
+                body: bytes = b"", written: Callable[[], None] | None = None) -> Response:
+        """Send a request and wait for the response's head; `written` is called after the request's last byte.
 
         Raises ConnectError when nothing was sent and ExchangeBroken when something may have been.
         """
@@ -100,7 +109,9 @@
             try:
                 connection.stream.write(data)
             except StreamError as error:
-                raise ExchangeBroken(f"write: {error}") from None
+                raise NotSent(f"write: {error}") from None
+            if written is not None:
+                written()
             while True:
                 event = self.next_event(connection)
                 if isinstance(event, http1.ResponseHead) and event.status >= 200:
@@ -125,14 +136,16 @@
         except StreamError as error:
             raise ExchangeBroken(str(error)) from None
         except http1.ProtocolError as error:
-            raise ExchangeBroken(error.reason) from None
+            broken = ExchangeBroken(error.reason)
+            broken.spoilt = True
+            raise broken from None
 
     def keep(self, key: tuple[str, int], connection: Connection) -> None:
         """Put a connection aside for the next request."""
         idle = self._idle.setdefault(key, deque())
         connection.used_us = self.world.now_us()
         idle.append(connection)
-        if len(idle) > IDLE_MOST:
+        if len(idle) > self.idle_most:
             idle.popleft().stream.close()
 
     def close_idle(self, host: str, port: int) -> None:
@@ -168,7 +181,7 @@
     def _open(self, key: tuple[str, int]) -> Connection:
         stream = self.world.connect(*key, self.world.now_us() + self.connect_us)
         self.counts.opened += 1
-        return Connection(stream, http1.ResponseParser())
+        return Connection(stream, http1.ResponseParser(limits=self.limits))
 
 
-__all__ = ["ConnectError", "ExchangeBroken", "HttpClient", "Response"]
+__all__ = ["ConnectError", "ExchangeBroken", "HttpClient", "NotSent", "Response"]
--- /dev/null
+++ b/yardspindle/node/__main__.py
@@ -0,0 +1,58 @@
+"""`python -m yardspindle.node`: one dispatcher on the users' platform, told by `ROUTER_*` what it is."""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import sys
+
+from yardspindle.core.config import ConfigError
+from yardspindle.node import log
+from yardspindle.node.app import Node, read_config
+from yardspindle.node.config import parse, variables
+from yardspindle.runtime.real import RealWorld
+from yardspindle.runtime.scheduler import Task
+
+
+def main() -> int:
+    """Run until a signal."""
+    world = RealWorld()
+    try:
+        told = variables(os.environ)
+        node = Node(world, read_config(world.read_file, told, parse))
+        world.run("node", lambda: program(world, node, told))
+    except ConfigError as error:
+        print(error, file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"ROUTER_LISTEN: {os.environ.get('ROUTER_LISTEN')}: {error.strerror}", file=sys.stderr)
+        return 2
+    return 0
+
+
+def program(world: RealWorld, node: Node, told: dict[str, str]) -> None:
+    """The first task: signals, start, and the end."""
+    def reload() -> None:
+        try:
+            node.reload(read_config(world.read_file, told, parse))
+        except ConfigError as error:
+            log.line("the new configuration is not taken", fault=error)
+
+    world.scheduler.on_crash = crashed
+    world.on_signals({signal.SIGTERM: world.stop.set, signal.SIGINT: world.stop.set, signal.SIGHUP: reload})
+    node.start()
+    gc.collect()
+    gc.freeze()
+    log.line("ready", name=node.config.name)
+    world.stop.wait()
+    node.drain()
+
+
+def crashed(task: Task, error: BaseException) -> None:
+    """A task's own error ends that task alone."""
+    log.line("a task failed", task=task.name, fault=f"{type(error).__name__}: {error}")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/yardspindle/node/app.py
@@ -0,0 +1,202 @@
+"""The dispatcher on the platform: its front, the core's clock, discovery's news, restarts and new configurations."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from yardspindle.api.serving import Exchange, Reply, Server, ServingLimits
+from yardspindle.core import commands as c
+from yardspindle.core.config import ConfigError
+from yardspindle.core.edge_core import EdgeCore
+from yardspindle.core.host_list import HostList
+from yardspindle.core.planning import PlanningSession
+from yardspindle.engine.http_client import HttpClient
+from yardspindle.node import log, request
+from yardspindle.node.config import NodeConfig
+from yardspindle.node.discovery import Discovery
+from yardspindle.node.executor import EPOCH, Executor, Running
+from yardspindle.node.hosts import LIMITS, Hosts
+from yardspindle.policy import Policy
+from yardspindle.protocol import http1
+from yardspindle.runtime.scheduler import DeadlineExceeded
+from yardspindle.runtime.world import StreamError, World
+
+TICK_US = 20_000  # how often the core's own deadlines are looked at; as often as the policy's
+HOUSEKEEPING_US = 1_000_000
+FIRST_LIST_US = 1_000_000  # how long "up" waits for discovery when a list is known already
+UP = b"/up"
+CLIENT_LIMITS = http1.Limits(line=8_192, head=16_384, headers=64, body=262_144)
+SILENT_CLIENT_US = 2_000_000  # a connection that has brought nothing, and a request that does not come to its end
+STALLED_CLIENT_US = 10_000_000
+IDLE_CLIENT_US = 60_000_000
+CLIENTS_PART = 0.55  # of the descriptors; for requests clients hold at most a third, the rest is room to refuse in
+KEPT_PART = 1 / 64  # of the descriptors: connections kept to each host
+IDLE_PART = 0.6  # of the time after which a host closes an idle connection
+STILL_SERVING_US = 900_000  # after SIGTERM; new connections keep coming for 0.4 s, and 0.7 s are owed to them
+
+
+class Node:
+    """One dispatcher."""
+
+    def __init__(self, world: World, config: NodeConfig) -> None:
+        """Nothing is opened before `start`."""
+        self.world = world
+        self.config = config
+        self.core = EdgeCore(config.rules)
+        policy = Policy(config.settings, config.seed)
+        now = world.now_us()
+        session = PlanningSession(lambda event, at_us: policy.handle(at_us, event), now, now)
+        self.policy = policy
+        self.hosts = HostList(config.roles)
+        kept = max(int(config.limits.sockets * KEPT_PART), 2)
+        self.http = HttpClient(world, config.connect_us, round(config.idle_us * IDLE_PART), kept, LIMITS)
+        self.executor = Executor(world, self.core, session, Hosts(self.http))
+        self.discovery = Discovery(world, config.discovery, self.hosts, self._news)
+        self._open_ids: set[bytes] = set()
+        self._requests = 0
+        self._server: Server | None = None
+        self._up = False
+
+    # --- program
+
+    def start(self) -> None:
+        """Listen, take the list that is known, and serve once discovery was heard. Raises OSError."""
+        config = self.config
+        listener = self.world.listen(*config.listen)
+        limits = ServingLimits(CLIENT_LIMITS, IDLE_CLIENT_US, SILENT_CLIENT_US, STALLED_CLIENT_US, SILENT_CLIENT_US,
+                               SILENT_CLIENT_US, int(config.limits.sockets * CLIENTS_PART))
+        self._server = Server(self.world, listener, self, limits, _fault)
+        self.executor.perform(self.core.planner_up(self.world.now_us(), EPOCH))
+        self.hosts.known(config.known)
+        self._news()
+        self.discovery.start()
+        self.world.spawn("accept", self._server.serve)
+        self.world.spawn("tick", self._tick)
+        try:
+            with self.world.deadline(self.world.now_us() + FIRST_LIST_US):
+                self.discovery.answered.wait()
+        except DeadlineExceeded:
+            log.line("discovery has not answered yet", known=len(self.hosts))
+        self._up = True
+
+    def reload(self, config: NodeConfig) -> None:
+        """A new configuration file: what may change while running is where discovery is."""
+        log.line("new configuration", discovery=f"{config.discovery[0]}:{config.discovery[1]}")
+        self.discovery.move(config.discovery)
+
+    def drain(self) -> None:
+        """A planned restart: say so, serve what still comes, answer what was taken, then leave."""
+        assert self._server is not None
+        self._up = False
+        log.line("draining", open=len(self.executor.running))
+        self.world.sleep_until(self.world.now_us() + STILL_SERVING_US)
+        self._server.close_idle()
+        longest_us = max(round(cls.give_up_us) for cls in self.config.settings.classes)
+        self._server.drain(self.world.now_us() + longest_us)
+
+    def _tick(self) -> None:
+        kept_us = self.world.now_us()
+        while True:
+            now = self.world.now_us()
+            self.world.sleep_until(now + TICK_US)
+            if self.core.busy:
+                self.executor.perform(self.core.tick(self.world.now_us()))
+            if now - kept_us > HOUSEKEEPING_US:
+                kept_us = now
+                self.http.close_old()
+                for number in list(self.executor.ids):
+                    self.executor.forget(number)
+
+    def _news(self) -> None:
+        now = self.world.now_us()
+        self.executor.perform(self.core.servers(now, self.hosts.servers()))
+        self.executor.members(self.hosts.members())
+
+    # --- front
+
+    def early(self, head: http1.RequestHead) -> Reply | None:
+        """See Handler: all that the head alone shows to be wrong, before a byte of the body is read."""
+        if head.target == UP and head.method in (b"GET", b"HEAD"):
+            return Reply(200 if self._up else 503, [], b"")
+        try:
+            asked = request.read_head(head, self.core.life.rules.effects)
+            if asked.id in self._open_ids:
+                raise request.Refused(409, "Req-Id: open already")
+        except request.Refused as refused:
+            return _error(refused.status, refused.reason)
+        return None
+
+    def malformed(self, error: http1.ProtocolError) -> Reply:
+        """See Handler."""
+        return _error(error.status, error.reason)
+
+    def handle(self, exchange: Exchange) -> None:
+        """See Handler."""
+        came_us = self.world.now_us()
+        try:
+            asked = request.read_head(exchange.head, self.core.life.rules.effects)
+            if asked.id in self._open_ids:
+                raise request.Refused(409, "Req-Id: open already")
+            request.check_body(exchange.body)
+        except request.Refused as refused:
+            exchange.reply(_error(refused.status, refused.reason))
+            return
+        self._requests += 1
+        number = self._requests
+        ask = request.to_policy(asked, number, came_us, len(exchange.body))
+        run = Running(ask, asked.id, exchange, self.world.signal())
+        self._open_ids.add(asked.id)
+        self.executor.running[number], self.executor.ids[number] = run, asked.id
+        try:
+            exchange.on_gone = self._gone(run)
+            self.executor.perform(self.core.arrive(came_us, ask))
+            run.done.wait()
+            self._finish(run)
+        finally:
+            if run.answer is None:  # however this ends, the core must hear of it
+                self.executor.perform(self.core.client_left(self.world.now_us(), number))
+            del self.executor.running[number]
+            self._open_ids.discard(asked.id)
+            self.executor.forget(number)
+
+    def _gone(self, run: Running) -> Callable[[], None]:
+        def gone() -> None:
+            if run.answer is None:
+                self.executor.perform(self.core.client_left(self.world.now_us(), run.ask.request))
+            run.done.set()
+
+        return gone
+
+    def _finish(self, run: Running) -> None:
+        answer, exchange = run.answer, run.exchange
+        if answer is None:
+            raise StreamError("the client left")
+        if answer.final is c.Final.SERVED:
+            exchange.finish()
+        elif answer.streamed:
+            exchange.break_off()
+        elif answer.final is c.Final.REFUSED:
+            after = b"%d.%03d" % divmod(max(answer.retry_after_us, 0) // 1_000, 1_000)
+            exchange.reply(_error(503, answer.code, [(b"retry-after", after)] if answer.retry_after_us else []))
+        else:
+            exchange.reply(_error(502 if answer.code == "may_have_run" else 504, answer.code))
+
+
+def read_config(read_file: Callable[[str], bytes], told: dict[str, str],
+                parse: Callable[[dict[str, str], bytes], NodeConfig]) -> NodeConfig:
+    """The configuration as it stands now. Raises ConfigError."""
+    path = told["ROUTER_CONFIG"]
+    try:
+        data = read_file(path)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    return parse(told, data)
+
+
+def _error(status: int, reason: str, headers: http1.Headers | None = None) -> Reply:
+    return Reply(status, [(b"content-type", b"text/plain"), *(headers or [])], reason.encode() + b"\n")
+
+
+def _fault(error: BaseException) -> None:
+    if not isinstance(error, (StreamError, DeadlineExceeded)):
+        log.line("a request's handler failed", fault=f"{type(error).__name__}: {error}")
--- /dev/null
+++ b/yardspindle/node/config.py
@@ -0,0 +1,110 @@
+"""What the platform tells a dispatcher: four variables, and a file that says all of it and more."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+from yardspindle import interface as i
+from yardspindle.core.config import ConfigError, split_address
+from yardspindle.core.host_list import ListAnswer
+from yardspindle.core.lifecycle import EdgeRules
+from yardspindle.settings_map import settings
+
+VARIABLES = ("ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG")
+ADDRESS = r"^([0-9]{1,3}\.){3}[0-9]{1,3}:[0-9]{1,5}$"
+Address = Annotated[str, Meta(pattern=ADDRESS)]
+
+
+class Limits(Struct, frozen=True):
+    """What the machine gives."""
+
+    cores: float = 1.0
+    memory_mb: Annotated[int, Meta(gt=0)] = 2048
+    sockets: Annotated[int, Meta(gt=0)] = 1024
+
+
+class _File(Struct, frozen=True):
+    settings: dict[str, Any]
+    name: str | None = None
+    listen: Address | None = None
+    discovery: Address | None = None
+    seed: Annotated[str, Meta(pattern=r"^[0-9a-fA-F]{1,32}$")] = "0"
+    limits: Limits = Limits()
+    known: ListAnswer = ListAnswer(0, True)
+
+
+@dataclass(frozen=True, slots=True)
+class NodeConfig:
+    """A dispatcher's configuration, checked. Times in microseconds."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    limits: Limits
+    known: ListAnswer
+    settings: i.Settings
+    rules: EdgeRules
+    connect_us: int
+    idle_us: int
+
+    @property
+    def roles(self) -> dict[str, i.Role]:
+        """What each kind of host does."""
+        return {kind.name: kind.role for kind in self.settings.kinds}
+
+
+def variables(environment: Mapping[str, str]) -> dict[str, str]:
+    """The platform's variables. Raises ConfigError."""
+    for name in VARIABLES:
+        if not environment.get(name):
+            raise ConfigError(f"{name}: not set")
+    return {name: environment[name] for name in VARIABLES}
+
+
+def parse(told: Mapping[str, str], data: bytes) -> NodeConfig:
+    """The configuration file's bytes, beside the variables. Raises ConfigError naming file, field and reason."""
+    file = told["ROUTER_CONFIG"]
+    try:
+        read = msgspec.json.decode(data, type=_File)
+    except msgspec.ValidationError as error:
+        reason, _, where = str(error).partition(" - at `$")
+        raise ConfigError(f"{file}: {where.strip('`.') or 'the whole'}: {reason}") from None
+    except msgspec.DecodeError as error:
+        raise ConfigError(f"{file}: no JSON: {error}") from None
+    raw = read.settings
+    try:
+        mapped = settings(raw)
+    except KeyError as error:
+        raise ConfigError(f"{file}: settings: no such value: {error}") from None
+    except (ValueError, TypeError, AttributeError, IndexError) as error:
+        raise ConfigError(f"{file}: settings: {error}") from None
+    allowed = raw.get("allowed") or {}
+    return NodeConfig(
+        name=read.name or told["ROUTER_NAME"],
+        listen=_address("ROUTER_LISTEN", read.listen or told["ROUTER_LISTEN"]),
+        discovery=_address("ROUTER_DISCOVERY", read.discovery or told["ROUTER_DISCOVERY"]),
+        seed=int(read.seed, 16), limits=read.limits, known=read.known, settings=mapped,
+        rules=EdgeRules(
+            effects={row.name: row.effect for row in mapped.classes}, release_us=mapped.release_us,
+            drain_grace_us=mapped.drain_grace_us, answer_slack_us=mapped.answer_slack_us,
+            retry_after_us=mapped.max_retry_after_us if mapped.retry_after else 0,
+            max_attempts=mapped.max_attempts, most_open=int(allowed.get("max-open") or 1 << 20),
+            writers_read=mapped.writers_read, release_whole=True),
+        connect_us=int(allowed.get("connect-timeout-us") or 250_000),
+        idle_us=int(allowed.get("conn-idle-us") or 15_000_000))
+
+
+def _address(name: str, text: str) -> tuple[str, int]:
+    try:
+        host, port = split_address(text)
+    except ValueError:
+        raise ConfigError(f"{name}: not an address: {text}") from None
+    if not host or not 0 < port <= 65_535:
+        raise ConfigError(f"{name}: not an address: {text}")
+    return host, port
--- /dev/null
+++ b/yardspindle/node/executor.py
@@ -0,0 +1,304 @@
+"""Carries out the core's commands on the platform's sockets, and hands events to the policy by a direct call.
+
+Commands never wait in the task that brings them: what waits for a peer is a task of its own. Events for the policy
+are queued while commands are carried out and handled after them, in order, as they would be over a link.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from yardspindle import interface as i
+from yardspindle.api.serving import Exchange
+from yardspindle.core import commands as c
+from yardspindle.core.directory import Server
+from yardspindle.core.edge_core import EdgeCore
+from yardspindle.core.planning import PlanningSession, Reply
+from yardspindle.core.rooms import Room
+from yardspindle.engine.http_client import ExchangeBroken
+from yardspindle.node import log
+from yardspindle.node.hosts import EVENT, Ended, Hosts, Stream, cached
+from yardspindle.protocol import http1
+from yardspindle.runtime.scheduler import DeadlineExceeded, Signal, Task
+from yardspindle.runtime.world import StreamError, World
+
+EPOCH = 1  # the one start of the one policy in this process
+PLACE_US = 1_000_000  # a writer that does not know answers after 0.3 s
+FREE_US = 70_000  # for one host to hear of a release; the rule leaves time for a few
+FREE_FIRST_US = 50_000  # how long a new attempt waits for a release that is under way
+SILENT_STREAM_US = 4_500_000  # a stream that brings nothing for so long is ended; clients wait 5 s at most
+OPENING_MOST = 262_144  # bytes before the end of a stream's first event
+
+
+@dataclass(slots=True)
+class Running:
+    """A request's I/O."""
+
+    ask: i.Request
+    id: bytes
+    exchange: Exchange
+    done: Signal
+    answer: c.Answer | None = None
+    attempts: dict[int, Task] = field(default_factory=dict)
+    sent: dict[int, Signal] = field(default_factory=dict)  # reads: set once the last byte is written
+    cached: int = 0
+    heard_us: int = 0  # when the running stream last brought something
+
+
+class Executor:
+    """The hands of the core."""
+
+    def __init__(self, world: World, core: EdgeCore, session: PlanningSession, hosts: Hosts) -> None:
+        """Events go to the session, attempts to the hosts."""
+        self._world = world
+        self._core = core
+        self._session = session
+        self._hosts = hosts
+        self.running: dict[int, Running] = {}
+        self.ids: dict[int, bytes] = {}  # of requests that run or are still being let go of
+        self._freeing: dict[int, Task] = {}
+        self._events: deque[i.Event] = deque()
+        self._deciding = False
+        self._timer_us = 0
+
+    def perform(self, commands: list[c.Command]) -> None:
+        """Carry out commands, in order, then let the policy decide on what they tell it."""
+        for command in commands:
+            self._carry_out(command)
+        if self._deciding:
+            return
+        self._deciding = True
+        try:
+            while self._events:
+                now = self._world.now_us()
+                events = list(self._events)
+                self._events.clear()
+                self._decided(self._session.heard(now, events))
+        finally:
+            self._deciding = False
+        self._arm()
+
+    def members(self, listed: i.Members) -> None:
+        """News of the server list for the policy."""
+        self._events.append(listed)
+        self.perform([])
+
+    def _decided(self, reply: Reply) -> None:
+        for text in reply.logs:
+            log.line("policy", says=text)
+        for fault in reply.faults:
+            log.line("the policy failed", fault=fault)
+        for action in reply.actions:
+            self.perform(self._core.act(self._world.now_us(), EPOCH, action))
+
+    def _arm(self) -> None:
+        due = self._session.next_due_us()
+        if due is not None and due != self._timer_us:
+            self._timer_us = due
+            self._world.call_at(due, self._due)
+
+    def _due(self) -> None:
+        """Called by the loop itself, which an error must not end."""
+        self._timer_us = 0
+        try:
+            self._deciding = True
+            try:
+                self._decided(self._session.tick(self._world.now_us()))
+            finally:
+                self._deciding = False
+            self.perform([])
+        except Exception as fault:
+            log.line("a timer failed", fault=f"{type(fault).__name__}: {fault}")
+
+    def _carry_out(self, command: c.Command) -> None:
+        match command:
+            case c.TellPlanner(event):
+                self._events.append(event)
+            case c.Read() | c.Write():
+                run = self.running[command.request]
+                if isinstance(command, c.Read):
+                    run.sent[command.attempt] = self._world.signal()
+                run.attempts[command.attempt] = self._world.spawn("attempt", self._attempt, command, run)
+            case c.Abort(request, attempt):
+                known = self.running.get(request)
+                if known is not None and attempt in known.attempts:
+                    known.attempts.pop(attempt).cancel()
+            case c.AskPlace():
+                run = self.running[command.request]
+                self._world.spawn("place", self._ask_place, command, run)
+            case c.Free(room, server):
+                self._freeing[room.request] = self._world.spawn("free", self._free, room, server)
+            case c.Answer(request):
+                known = self.running.get(request)
+                if known is not None:
+                    known.answer = command
+                    known.done.set()
+            case c.CloseIdle(server):
+                self._hosts.http.close_idle(server.host, server.port)
+            case c.Warn(request, rule):
+                log.line("interlock", rule=rule, id=self._name(request))
+            case c.Broken(rule, request, text):
+                log.line("rule broken", rule=rule, text=text, id=self._name(request))
+            case c.ReleaseState() | c.ReleasePlace() | c.ReleaseAll() | c.Release():
+                raise AssertionError("a release that the core did not take in hand")
+
+    def _name(self, request: int) -> str:
+        return self.ids.get(request, b"?").decode()
+
+    # --- attempts
+
+    def _attempt(self, command: c.Read | c.Write, run: Running) -> None:
+        try:
+            ended = self._tried(command, run)
+        finally:
+            signal = run.sent.pop(command.attempt, None)
+            if signal is not None:
+                signal.set()
+        if ended is None:
+            return
+        run.attempts.pop(command.attempt, None)
+        if ended.status in (i.Status.CONNECT_FAILED, i.Status.RESET):
+            self._core.rooms.silent(command.server.number)
+        elif ended.status is not i.Status.TIMEOUT:
+            self._core.rooms.heard(self._world.now_us(), command.server.number)
+        if ended.status not in (i.Status.READ, i.Status.SERVED):
+            log.line("attempt failed", id=run.id.decode(), at=command.server.name, kind=type(command).__name__,
+                     status=ended.status.value, detail=ended.detail)
+        self.perform(self._core.attempt_ended(
+            self._world.now_us(), command.request, command.attempt, ended.status, ended.note))
+
+    def _tried(self, command: c.Read | c.Write, run: Running) -> Ended | None:
+        """How it ended; None when its request was over before its stream began."""
+        try:
+            with self._world.deadline(command.until_us):
+                self._wait_for_release(command.request)
+                left_ms = max((command.until_us - self._world.now_us()) // 1_000, 1)
+                headers = [(b"host", b"api.internal"), (b"req-id", run.id), (b"req-deadline-ms", b"%d" % left_ms),
+                           (b"content-type", b"application/json")]
+                signal = run.sent.get(command.attempt)
+                said = self._hosts.send(command.server, run.exchange.head.target, headers, run.exchange.body,
+                                        signal.set if signal is not None else _nothing)
+                if isinstance(said, Ended):
+                    return said
+                try:
+                    opening = self._opening(said)
+                except BaseException:
+                    said.abort()
+                    raise
+        except DeadlineExceeded:
+            return Ended(i.Status.TIMEOUT)
+        except ExchangeBroken as error:
+            return Ended(i.Status.RESET, detail=str(error))
+        except http1.ProtocolError as error:
+            return Ended(i.Status.ERROR, detail=error.reason)
+        try:
+            return self._relay(command, run, said, opening)
+        finally:
+            said.close()
+
+    def _opening(self, stream: Stream) -> bytes:
+        """A stream up to the end of its first event. Raises ExchangeBroken and ProtocolError."""
+        opening = b""
+        while b"\n\n" not in opening:
+            data = stream.next()
+            if data is None:
+                raise http1.ProtocolError("a stream without an event")
+            opening += data
+            if not opening.startswith(EVENT[:len(opening)]) or len(opening) > OPENING_MOST:
+                raise http1.ProtocolError("a stream that does not open with an event")
+        return opening
+
+    def _relay(self, command: c.Read | c.Write, run: Running, stream: Stream, opening: bytes) -> Ended | None:
+        begun, commands = self._core.first_token(self._world.now_us(), command.request, command.attempt)
+        self.perform(commands)
+        if not begun:
+            return None
+        exchange = run.exchange
+        stop_guard = self._guard_silence(run, stream)
+        try:
+            head = exchange.start(200, [(b"content-type", b"text/event-stream")])
+            exchange.body = b""
+            exchange.send(opening, head)
+            tail = opening
+            while (data := stream.next()) is not None:
+                run.heard_us = self._world.now_us()
+                exchange.send(data)
+                tail = tail[-512:] + data
+            return Ended(i.Status.SERVED, cached(tail))
+        except (ExchangeBroken, http1.ProtocolError) as error:
+            return Ended(i.Status.RESET, detail=f"stream broken: {error}")
+        except StreamError:  # the client left or takes nothing; the core is told by the exchange
+            exchange.left()
+            return Ended(i.Status.CANCELLED)
+        finally:
+            stop_guard()
+
+    def _guard_silence(self, run: Running, stream: Stream) -> Callable[[], None]:
+        """Break a stream off that brings nothing for too long, without a timer for each event."""
+        run.heard_us = self._world.now_us()
+        cancel: list[Callable[[], None]] = []
+
+        def check() -> None:
+            due = run.heard_us + SILENT_STREAM_US
+            if self._world.now_us() >= due:
+                stream.abort()
+            else:
+                cancel[0] = self._world.call_at(due, check)
+
+        cancel.append(self._world.call_at(run.heard_us + SILENT_STREAM_US, check))
+        return lambda: cancel[0]()
+
+    # --- places and releases
+
+    def _ask_place(self, command: c.AskPlace, run: Running) -> None:
+        signal = run.sent.get(command.read_attempt)
+        held: bool | None = None
+        try:
+            with self._world.deadline(self._world.now_us() + PLACE_US):
+                if signal is not None:
+                    signal.wait()
+                out = command.read_attempt in run.attempts and run.answer is None and not run.exchange.gone
+                held = out and self._hosts.ask_place(command.server, run.id)  # no read is out any more: never asked
+        except DeadlineExceeded:
+            pass
+        self.ids.setdefault(command.request, run.id)  # its release may be all that is left of it
+        self.perform(self._core.place_answered(
+            self._world.now_us(), command.request, command.place, command.server, held))
+        self.forget(command.request)
+
+    def _free(self, room: Room, server: Server) -> None:
+        heard = False
+        try:
+            if self._core.rooms.owed.get(room.request) is not room:
+                return  # a newer attempt was sent meanwhile, whose own end lets go of everything
+            with self._world.deadline(self._world.now_us() + FREE_US):
+                heard = self._hosts.release(server, self.ids[room.request])
+        except DeadlineExceeded:
+            pass
+        finally:
+            if self._freeing.get(room.request) is self._world.current():
+                del self._freeing[room.request]
+            self.perform(self._core.room_settled(self._world.now_us(), room, server.number, heard))
+            self.forget(room.request)
+
+    def _wait_for_release(self, request: int) -> None:
+        """A release that is under way must not take what a newer attempt needs: wait for it, then cut it off."""
+        task = self._freeing.get(request)
+        if task is None:
+            return
+        try:
+            with self._world.deadline(self._world.now_us() + FREE_FIRST_US):
+                task.join()
+        except DeadlineExceeded:
+            task.cancel()
+
+    def forget(self, request: int) -> None:
+        """Drop the id of a request that neither runs nor is being let go of."""
+        if request not in self.running and request not in self._core.rooms.owed:
+            self.ids.pop(request, None)
+
+
+def _nothing() -> None:
+    pass
--- /dev/null
+++ b/yardspindle/node/hosts.py
@@ -0,0 +1,133 @@
+"""The client side of a model host: what the platform's protocol says, and what each answer proves."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from yardspindle.core.directory import Server
+from yardspindle.engine.http_client import ConnectError, ExchangeBroken, HttpClient, NotSent, Response
+from yardspindle.interface import Status
+from yardspindle.protocol import http1
+from yardspindle.protocol.chunks import ChunkReader
+
+ROOMS = b"/bootstrap/rooms/"
+BODY_MOST = 262_144  # of a whole body, and of a chunk of a stream
+LIMITS = http1.Limits(line=8_192, head=16_384, headers=64, body=BODY_MOST)
+CACHED = re.compile(rb'"cached_tokens"\s*:\s*([0-9]{1,9})')
+EVENT = b"data:"
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """How an attempt ended; `note` is what the policy is told with it."""
+
+    status: Status
+    note: int = 0
+    detail: str = ""
+
+
+class Stream:
+    """An answer under way. Reads raise ExchangeBroken; ProtocolError says that it is spoilt."""
+
+    def __init__(self, response: Response) -> None:
+        """Take over the body from the response's parser."""
+        self._response = response
+        self._connection = response.connection
+        parser = response.connection.parser
+        self._chunks = ChunkReader(BODY_MOST)
+        self._left = bytes(parser.buffer)
+        self._chunked = http1.is_chunked(response.head.headers, response.head.minor)
+        parser.buffer.clear()
+
+    def next(self) -> bytes | None:
+        """What has come whole since, or None at the end. Raises ExchangeBroken and ProtocolError."""
+        if not self._chunked:
+            raise http1.ProtocolError("a stream that is not in chunks")
+        while True:
+            if self._left:
+                data, self._left = self._left, b""
+                contents = self._chunks.feed(data)
+                if contents:
+                    return contents
+            if self._chunks.ended:
+                return None
+            data = self._connection.stream.read()
+            if not data:
+                raise ExchangeBroken("closed inside the stream")
+            self._left = data
+
+    def close(self) -> None:
+        """Keep the connection if the stream came to its end and nothing lies behind it, else reset it."""
+        self._response.ended = self._chunks.ended
+        self._connection.parser.buffer += self._chunks.rest
+        self._connection.parser.stage = http1.RESTING
+        self._response.close()
+
+    def abort(self) -> None:
+        """Break it off: a read that waits ends with an error."""
+        self._connection.stream.abort()
+
+
+class Hosts:
+    """Calls to model hosts."""
+
+    def __init__(self, http: HttpClient) -> None:
+        """Connections are kept by `http`."""
+        self.http = http
+
+    def send(self, server: Server, target: bytes, headers: http1.Headers, body: bytes,
+             written: Callable[[], None]) -> Ended | Stream:
+        """Send the request to a reader or writer and wait for what it says, or for the head of its stream."""
+        try:
+            response = self.http.request(server.host, server.port, b"POST", target, headers, body, written)
+        except (ConnectError, NotSent) as error:
+            return Ended(Status.CONNECT_FAILED, detail=str(error))
+        except ExchangeBroken as error:
+            return Ended(Status.ERROR if error.spoilt else Status.RESET, detail=str(error))
+        head = response.head
+        if head.status == 200:
+            return Stream(response)
+        try:
+            content = response.read_all()
+        except ExchangeBroken as error:
+            return Ended(Status.ERROR if error.spoilt else Status.RESET, detail=str(error))
+        finally:
+            response.close()
+        declined = head.get(b"srv-declined") == b"1"
+        if head.status == 202:
+            return Ended(Status.READ, cached(content))
+        if head.status == 410 and declined:
+            return Ended(Status.FULL, 1)
+        if head.status in (503, 504) and declined:
+            return Ended(Status.FULL)
+        return Ended(Status.ERROR, detail=f"status {head.status}")
+
+    def ask_place(self, server: Server, request_id: bytes) -> bool | None:
+        """Whether a writer holds a place now; None when it is not known."""
+        status = self._call(server, b"POST", request_id)
+        return {200: True, 409: False}.get(status)
+
+    def release(self, server: Server, request_id: bytes) -> bool:
+        """Let go of all that is held for a request anywhere; whether the host heard."""
+        return self._call(server, b"DELETE", request_id) == 204
+
+    def _call(self, server: Server, method: bytes, request_id: bytes) -> int:
+        try:
+            response = self.http.request(server.host, server.port, method, ROOMS + request_id, [])
+        except (ConnectError, ExchangeBroken):
+            return 0
+        try:
+            response.read_all()
+        except ExchangeBroken:
+            return 0
+        finally:
+            response.close()
+        return response.head.status
+
+
+def cached(data: bytes) -> int:
+    """The prompt tokens that a host says it found kept; 0 where it says nothing readable."""
+    found = CACHED.search(data)
+    return int(found[1]) if found else 0
--- /dev/null
+++ b/yardspindle/node/log.py
@@ -0,0 +1,15 @@
+"""The dispatcher's log: a line of text for each thing worth reading, on standard error."""
+
+from __future__ import annotations
+
+import contextlib
+import sys
+
+LINE_MOST = 300
+
+
+def line(what: str, **fields: object) -> None:
+    """Write one line."""
+    text = " ".join([what, *(f"{name}={value}" for name, value in fields.items())])
+    with contextlib.suppress(OSError, ValueError):  # a log that cannot be written must not end what it tells of
+        sys.stderr.write(" ".join(text.split())[:LINE_MOST] + "\n")
--- /dev/null
+++ b/yardspindle/node/request.py
@@ -0,0 +1,107 @@
+"""A client's request in the platform's headers: checked, and mapped to what the policy is asked.
+
+What cannot be read is told to the client here, before the core or a model host hears of it.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from yardspindle import interface as i
+from yardspindle.protocol.http1 import RequestHead
+
+PATH = b"/v1/chat/completions"
+ID = re.compile(rb"[0-9A-Za-z._-]{1,64}")
+MILLISECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,6})?")
+LENGTH = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?")
+CHARS_PER_TOKEN = 4.0
+
+
+class Refused(Exception):
+    """The request cannot be taken: status and reason for its client."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        """Keep both."""
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A request as its head states it; the body is not looked into."""
+
+    id: bytes
+    cls: str
+    deadline_us: int
+    tenant: str | None
+    session: str | None
+    extra: dict[str, str]
+    repeat: bool
+    resumed: bool
+
+
+def read_head(head: RequestHead, classes: Mapping[str, i.Effect]) -> Asked:
+    """Check a request's head. Raises Refused."""
+    if head.target.partition(b"?")[0] != PATH:
+        raise Refused(404, "there is nothing at this path")
+    if head.method != b"POST":
+        raise Refused(405, "only POST here")
+    number = _one(head, b"req-id")
+    if ID.fullmatch(number) is None:
+        raise Refused(400, "Req-Id: missing or malformed")
+    cls = _one(head, b"req-kind").decode("latin-1")
+    if cls not in classes:
+        raise Refused(400, "Req-Kind: no such class")
+    deadline = _one(head, b"req-deadline-ms")
+    if MILLISECONDS.fullmatch(deadline) is None or float(deadline) <= 0:
+        raise Refused(400, "Req-Deadline-Ms: not a time")
+    retry = _one(head, b"req-retry")
+    return Asked(number, cls, round(float(deadline) * 1_000), _text(head, b"req-owner"), _text(head, b"req-key"),
+                 _extra(_one(head, b"req-extra")), retry == b"1", retry == b"again")
+
+
+def check_body(body: bytes) -> None:
+    """The body is one JSON object. Raises Refused."""
+    if not body.lstrip()[:1] == b"{":
+        raise Refused(400, "the body is no JSON object")
+    try:
+        msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        raise Refused(400, "the body is no JSON object") from None
+
+
+def to_policy(asked: Asked, number: int, came_us: int, body_size: int) -> i.Request:
+    """The request as the policy is asked it."""
+    prefix = asked.extra.get("prefix") or None
+    return i.Request(
+        request=number, cls=asked.cls, expires_us=came_us + asked.deadline_us,
+        prompt_tokens=float(asked.extra.get("prompt_len") or body_size // CHARS_PER_TOKEN),
+        prefix_tokens=float(asked.extra.get("prefix_len") or 0.0) if prefix else 0.0,
+        max_out=float(asked.extra.get("max_out") or 0.0), tenant=asked.tenant, prefix=prefix,
+        session=asked.session, repeat=asked.repeat, resumed=asked.resumed)
+
+
+def _one(head: RequestHead, name: bytes) -> bytes:
+    values = [value for known, value in head.headers if known == name]
+    if len(values) > 1:
+        raise Refused(400, f"{name.decode()}: comes twice")
+    return values[0] if values else b""
+
+
+def _text(head: RequestHead, name: bytes) -> str | None:
+    return _one(head, name).decode("latin-1") or None
+
+
+def _extra(value: bytes) -> dict[str, str]:
+    extra: dict[str, str] = {}
+    for part in value.decode("latin-1").split(","):
+        name, _, text = part.strip().partition("=")
+        if name in ("prompt_len", "prefix_len", "max_out") and LENGTH.fullmatch(text) is None:
+            raise Refused(400, f"Req-Extra: {name} is no length")
+        extra[name] = text
+    return extra
--- a/yardspindle/protocol/http1.py
+++ b/yardspindle/protocol/http1.py
@@ -160,6 +160,9 @@
     return not has_token(head.headers, b"connection", b"close")
 
 
+RESTING = _Stage.HEAD  # between two messages: where a parser stands again once its body was read by other means
+
+
 @dataclass(slots=True)
 class _Parser:
     limits: Limits = field(default_factory=Limits)
--- a/yardspindle/runtime/real.py
+++ b/yardspindle/runtime/real.py
@@ -11,10 +11,8 @@
 import socket
 import struct
 import time
-from collections.abc import Callable
-from typing import Any, Literal, TypeVar
-
-import zmq
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING, Any, Literal, TypeVar
 
 from yardspindle.runtime.scheduler import (
     Cancelled,
@@ -27,7 +25,9 @@
     Task,
 )
 from yardspindle.runtime.world import ConnectError, Listener, MessageSocket, Stream, StreamError
-from yardspindle.runtime.zeromq import ZmqSocket
+
+if TYPE_CHECKING:
+    import zmq
 
 T = TypeVar("T")
 READ_MASK = select.POLLIN
@@ -311,6 +311,10 @@
     def messages(self, kind: Literal["sub", "pub", "dealer", "router"], host: str, port: int,
                  topic: bytes = b"") -> MessageSocket:
         """See World."""
+        import zmq  # only here: a program that sends no messages does not pay for the library's memory
+
+        from yardspindle.runtime.zeromq import ZmqSocket
+
         if self._zmq is None:
             self._zmq = zmq.Context()
         return ZmqSocket(self, self._zmq, kind, host, port, topic)
@@ -334,19 +338,28 @@
 
     def stop_on_signals(self) -> None:
         """Set `stop` at SIGINT or SIGTERM; called from the main thread, inside `run`."""
+        def stop() -> None:
+            if self.stop.is_set:
+                os._exit(130)  # a second signal: the drain is not waited for
+            self.stop.set()
+
+        self.on_signals({signals.SIGINT: stop, signals.SIGTERM: stop})
+
+    def on_signals(self, handlers: Mapping[signals.Signals, Callable[[], None]]) -> None:
+        """Call back in a task of its own at each signal; called once, from the main thread, inside `run`."""
         reader, writer = socket.socketpair()
         writer.setblocking(False)
         signals.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
-        for number in (signals.SIGINT, signals.SIGTERM):
+        for number in handlers:
             signals.signal(number, lambda *_: None)
         stream = RealStream(self, reader)
 
         def watch() -> None:
             try:
-                stream.read(1)
-                self.stop.set()
-                stream.read(1)
-                os._exit(130)  # a second signal: the drain is not waited for
+                while True:
+                    for number in stream.read(16):
+                        if number in handlers:
+                            handlers[signals.Signals(number)]()
             finally:
                 signals.set_wakeup_fd(-1)
                 stream.close()
