Strike no host for a spoilt stream, and let a lost state end no attempt's task

The log had three causes. (1) "task failed: a release that the core did not take in hand" eight times: Lifecycle's _release_state still owed a release by engine when a writer found no state (note 1), though `release_whole` engines know none; the attempt's task died, its request heard nothing until its deadline. (2) "set aside: reset" 21 times: a stream spoilt after its first event was told to the policy as a reset (Executor._relay), which strikes the host for it; it is an error now, as any host spoils streams. (3) heads that began and did not end were waited for to the deadline: HttpClient.head_us and OPENING_US bound them from their first byte. Ruled out: CPU (0.6 s in the busiest second before and after) and the fleet's crash (one host of 14, its connections refused at once).

On reload one request was lost: Server.drain cancelled connections that counted as idle though bytes of their next request had woken them (serving._close_quiet now leaves these), and a drain waited 7.5 s though SIGKILL may come after 3.7 s: Lifecycle.leave answers everything before it.

--- /dev/null
+++ b/tests/test_node_cores.py
@@ -0,0 +1,209 @@
+"""What the platform's dispatcher adds to the cores: one word that lets go of all, the hosts' list, whole chunks."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yardspindle import interface as i
+from yardspindle.core import commands as c
+from yardspindle.core.directory import Server
+from yardspindle.core.edge_core import EdgeCore
+from yardspindle.core.host_list import HostList, ListAnswer, Member
+from yardspindle.core.lifecycle import EdgeRules
+from yardspindle.core.rooms import AGAIN_US, TRIES_AT_ONCE, Rooms
+from yardspindle.protocol.chunks import ChunkReader
+from yardspindle.protocol.http1 import ProtocolError
+
+RULES = EdgeRules(
+    effects={"safe": i.Effect.SAFE, "once": i.Effect.UNSAFE}, release_us=300_000, drain_grace_us=500_000,
+    answer_slack_us=8_000, retry_after_us=1_000_000, max_attempts=6, most_open=100, release_whole=True)
+READER, WRITER, WRITER2 = 1, 2, 3
+
+
+def server(number: int, role: i.Role, state: i.State = i.State.SERVING) -> Server:
+    return Server(number, f"s{number}", "127.0.0.1", 1000 + number, role, state, places=True)
+
+
+def started() -> EdgeCore:
+    core = EdgeCore(RULES)
+    core.planner_up(0, 1)
+    core.servers(0, [server(READER, i.Role.READ), server(WRITER, i.Role.WRITE), server(WRITER2, i.Role.WRITE)])
+    return core
+
+
+def kinds(commands: list[c.Command]) -> list[str]:
+    return [type(command).__name__ for command in commands if not isinstance(command, c.TellPlanner)]
+
+
+def of(kind: type[Any], commands: list[c.Command]) -> list[Any]:
+    return [command for command in commands if isinstance(command, kind)]
+
+
+def reading(core: EdgeCore, cls: str = "safe") -> None:
+    core.arrive(0, i.Request(1, cls, 5_000_000, 100.0))
+    core.act(0, 1, i.Send(1, READER))
+    core.act(0, 1, i.Ahead(1, WRITER))
+
+
+# --- one word lets go of all
+
+def test_a_writer_that_finds_no_state_asks_for_no_release_of_its_own() -> None:
+    core = started()
+    reading(core)
+    core.attempt_ended(10, 1, 0, i.Status.READ)
+    core.act(20, 1, i.Send(1, WRITER))
+    told = core.attempt_ended(30, 1, 1, i.Status.FULL, note=1)
+    assert kinds(told) == []  # nothing that only another kind of engine understands
+    assert of(c.TellPlanner, told)[0].event.note == 1
+    assert kinds(core.act(30, 1, i.Discard(1))) == ["Free"]
+    assert kinds(core.act(30, 1, i.Send(1, READER))) == ["Read"]
+
+
+def test_a_read_that_broke_is_let_go_of_twice_as_its_state_may_come_later() -> None:
+    core = started()
+    reading(core)
+    freed = of(c.Free, core.attempt_ended(1_000, 1, 0, i.Status.RESET))
+    assert len(freed) == 1
+    core.act(1_000, 1, i.Refuse(1, 0))
+    assert kinds(core.room_settled(2_000, freed[0].room, freed[0].server.number, True)) == []
+    again = of(c.Free, core.tick(2_000 + AGAIN_US))
+    assert len(again) == 1
+    core.room_settled(2_001 + AGAIN_US, again[0].room, again[0].server.number, True)
+    assert not core.busy
+
+
+def test_a_place_given_up_for_another_costs_no_word_that_would_free_the_read() -> None:
+    core = started()
+    reading(core)
+    assert kinds(core.place_answered(5, 1, 1, server(WRITER, i.Role.WRITE), False)) == []
+    assert kinds(core.act(6, 1, i.Ahead(1, WRITER2))) == ["AskPlace"]
+    assert kinds(core.place_answered(7, 1, 2, server(WRITER2, i.Role.WRITE), None)) == []  # it may be held
+    core.attempt_ended(10, 1, 0, i.Status.READ)
+    assert kinds(core.act(10, 1, i.Send(1, WRITER2))) == ["Write"]
+    core.first_token(20, 1, 1)
+    assert kinds(core.attempt_ended(30, 1, 1, i.Status.SERVED)) == ["Answer"]  # the stream freed the rest
+    assert not core.busy
+
+
+def test_a_place_granted_after_the_end_is_let_go_of() -> None:
+    core = started()
+    reading(core)
+    free = of(c.Free, core.client_left(5, 1))
+    core.room_settled(6, free[0].room, free[0].server.number, True)
+    assert kinds(core.place_answered(7, 1, 1, server(WRITER, i.Role.WRITE), True)) in ([], ["Free"])
+    assert core.rooms.owed  # also while the second word about the read is still to come
+
+
+def test_what_waits_too_long_for_a_writer_is_let_go_of_in_time() -> None:
+    core = started()
+    reading(core)
+    core.attempt_ended(10, 1, 0, i.Status.READ)
+    assert kinds(core.tick(200_000)) == []
+    assert kinds(core.tick(240_000)) == ["Warn", "Free"]
+
+
+def test_leaving_answers_everything_and_breaks_streams_off() -> None:
+    core = started()
+    for number, cls in ((1, "safe"), (2, "once"), (3, "safe")):
+        core.arrive(0, i.Request(number, cls, 5_000_000, 100.0))
+        core.act(0, 1, i.Send(number, READER))
+        core.attempt_ended(10, number, 0, i.Status.READ)
+    for number in (2, 3):
+        core.act(20, 1, i.Send(number, WRITER))
+    core.first_token(30, 3, 1)
+    commands = core.leave(40)
+    answers = {a.request: (a.final, a.streamed) for a in of(c.Answer, commands)}
+    assert answers == {1: (c.Final.REFUSED, False), 2: (c.Final.FAILED, False), 3: (c.Final.FAILED, True)}
+    assert {a.request for a in of(c.Abort, commands)} == {2, 3}
+    assert not core.life.open
+
+
+# --- whom to tell
+
+def test_a_host_that_does_not_answer_is_no_excuse() -> None:
+    rooms, servers = Rooms(), {n: server(n, i.Role.READ) for n in (1, 2, 3)}
+    servers[3].state = i.State.GONE
+    rooms.heard(5, 1)
+    rooms.owe(10, 9, False)
+    asked = []
+    for at in range(TRIES_AT_ONCE):
+        ((room, to),) = rooms.take_due(10 + at, servers)
+        asked.append(to.number)
+        rooms.settled(10 + at, room, to.number, False)
+    assert asked == [1, 2, 1, 2]  # the one heard last first; the one that is gone never
+    assert rooms.take_due(20, servers) == []
+
+
+def test_a_newer_attempt_forgets_what_is_owed() -> None:
+    rooms, servers = Rooms(), {1: server(1, i.Role.READ)}
+    rooms.owe(0, 9, True)
+    ((room, to),) = rooms.take_due(0, servers)
+    rooms.in_use(9)
+    rooms.settled(1, room, to.number, True)
+    assert not rooms.owed
+    rooms.owe(2, 9, False)
+    assert len(rooms.take_due(2, servers)) == 1  # and the count of what is out was kept
+
+
+# --- the hosts' list
+
+def member(name: str, phase: str = "Ready", **more: Any) -> Member:
+    return Member(name, f"10.0.0.{len(name)}:9000", "a", "reads", 1, phase, **more)
+
+
+def fleet(revision: int, *members: Member, complete: bool = True) -> ListAnswer:
+    return ListAnswer(revision, complete, members)
+
+
+@given(st.permutations(["s-1", "s-22", "s-333", "s-4444"]))
+def test_numbers_do_not_depend_on_the_order_of_arrival(names: list[str]) -> None:
+    hosts = HostList({"reads": i.Role.READ})
+    for revision, name in enumerate(names):
+        hosts.take(fleet(revision, member(name), complete=False))
+    assert {s.name: s.number for s in hosts.servers()} == {
+        name: HostList({}).number(name) for name in ("s-1", "s-22", "s-333", "s-4444")}
+
+
+def test_a_bad_answer_never_empties_the_list() -> None:
+    hosts = HostList({"reads": i.Role.READ})
+    hosts.known(fleet(5, member("s-1")))
+    assert hosts.members().list_kind is i.ListKind.STALE
+    assert not hosts.take(fleet(9))
+    assert not hosts.take(fleet(4, member("s-22")))
+    assert [s.name for s in hosts.servers()] == ["s-1"]
+    assert hosts.take(fleet(5, member("s-1")))  # the first real one: no longer stale
+    assert hosts.members().list_kind is i.ListKind.COMPLETE
+    assert not hosts.take(fleet(6, complete=False))
+    assert hosts.take(fleet(7, member("s-1", "Terminating"), complete=False))
+    assert [e.state for e in hosts.members().entries] == [i.State.DRAINING]
+    assert hosts.take(fleet(8, member("s-1", "Gone"), member("s-22", up_since_ms=3), complete=False))
+    assert [(s.name, s.host) for s in hosts.servers()] == [("s-22", "10.0.0.4")]
+    assert [e.up_since_us for e in hosts.members().entries] == [3_000]
+
+
+# --- chunks
+
+BODY = b"5\r\nhello\r\n6;x=y\r\n world\r\n0\r\nA: b\r\n\r\nbehind"
+
+
+@given(st.lists(st.integers(1, len(BODY) - 1)))
+def test_chunks_come_out_whole_however_they_are_cut(cuts: list[int]) -> None:
+    reader, out = ChunkReader(100), []
+    for start, end in zip([0, *sorted(cuts)], [*sorted(cuts), len(BODY)], strict=True):
+        if not reader.ended and start < end:
+            out.append(reader.feed(BODY[start:end]))
+    assert b"".join(out) == b"hello world"
+    assert all(piece in (b"", b"hello", b" world", b"hello world") for piece in out)
+    assert reader.ended and b"behind".startswith(reader.rest)
+
+
+@pytest.mark.parametrize("spoilt", [
+    b"xyz\r\n", b"-5\r\nhello\r\n", b"5\nhello", b"3\r\nhello\r\n", b"c0000000\r\nab", b"9" * 300,
+    b"0\r\n" + b"A: b\r\n" * 40])
+def test_a_spoilt_chunk_is_found_at_once(spoilt: bytes) -> None:
+    with pytest.raises(ProtocolError):
+        ChunkReader(1_000).feed(spoilt)
--- a/yardspindle/api/serving.py
+++ b/yardspindle/api/serving.py
@@ -113,6 +113,12 @@
         self.writing_since_us = 0
 
 
+def _close_quiet(task: Task) -> None:
+    """Close a connection between requests, unless bytes of its next one have woken its task: that one is taken."""
+    if task.parked:
+        task.cancel()
+
+
 def _never() -> bool:
     return False
 
@@ -170,14 +176,14 @@
             return False
         del self._idle[oldest]
         self._connections.pop(oldest, None)
-        oldest.cancel()
+        _close_quiet(oldest)
         return True
 
     def close_idle(self) -> None:
         """Close what is between requests; what is not closes after its answer."""
         self.closing = True
         for task in list(self._idle):
-            task.cancel()
+            _close_quiet(task)
 
     def drain(self, until_us: int) -> None:
         """Accept nothing more, close idle connections, wait for answers under way, then cut off."""
@@ -185,7 +191,7 @@
         self.listener.close()
         for task, idle in list(self._connections.items()):
             if idle:
-                task.cancel()
+                _close_quiet(task)
         try:
             with self._world.deadline(until_us):
                 for task in list(self._connections):
--- a/yardspindle/core/edge_core.py
+++ b/yardspindle/core/edge_core.py
@@ -45,6 +45,10 @@
         """No planner decides."""
         return self._out(now_us, self.life.planner_down(now_us))
 
+    def leave(self, now_us: int) -> list[c.Command]:
+        """This program is about to end."""
+        return self._out(now_us, self.life.leave(now_us))
+
     def servers(self, now_us: int, listed: list[Server]) -> list[c.Command]:
         """The planner's list of servers."""
         return self._out(now_us, self.life.servers(now_us, listed))
--- a/yardspindle/core/lifecycle.py
+++ b/yardspindle/core/lifecycle.py
@@ -150,6 +150,22 @@
             r.epoch = 0
         return self._take()
 
+    def leave(self, now_us: int) -> list[c.Command]:
+        """This program is about to end: answer everything, and break off what streams."""
+        self.epoch = 0
+        for r in list(self.open.values()):
+            r.epoch = 0
+            if r.final is not None:
+                continue
+            if r.streaming:
+                self._final(r, c.Final.FAILED, "draining")
+                self._settle(now_us, r)
+                continue
+            if r.out is not None:
+                self._abort(now_us, r)
+            self._give_up(r, "draining")
+        return self._take()
+
     def servers(self, now_us: int, listed: list[Server]) -> list[c.Command]:
         """The planner's list of servers, complete."""
         self.directory.replace(now_us, listed)
@@ -456,7 +472,8 @@
 
     def _release_state(self, r: Open) -> None:
         if r.state_at is not None:
-            self._commands.append(c.ReleaseState(r.ask.request, r.state_attempt, r.state_at))
+            if not self.rules.release_whole:
+                self._commands.append(c.ReleaseState(r.ask.request, r.state_attempt, r.state_at))
             r.state, r.state_at = None, None
 
     def _release_place(self, r: Open) -> None:
--- a/yardspindle/engine/http_client.py
+++ b/yardspindle/engine/http_client.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from yardspindle.protocol import http1
+from yardspindle.runtime.scheduler import DeadlineExceeded
 from yardspindle.runtime.world import ConnectError, Stream, StreamError, World
 
 IDLE_MOST = 64  # connections kept for each server unless told otherwise; others are closed after their use
@@ -90,6 +91,7 @@
     idle_us: int
     idle_most: int = IDLE_MOST
     limits: http1.Limits = field(default_factory=http1.Limits)
+    head_us: int = 0  # how long a head may take from its first byte to its last; 0: no bound
     counts: Counts = field(default_factory=Counts)
     _idle: dict[tuple[str, int], deque[Connection]] = field(default_factory=dict)
 
@@ -113,7 +115,7 @@
             if written is not None:
                 written()
             while True:
-                event = self.next_event(connection)
+                event = self._head(connection)
                 if isinstance(event, http1.ResponseHead) and event.status >= 200:
                     done = True
                     return Response(self, key, connection, event)
@@ -121,6 +123,21 @@
             if not done:
                 connection.stream.abort()
 
+    def _head(self, connection: Connection) -> http1.Event:
+        """The next head: one that has begun and does not end is as broken as one that cannot be read."""
+        if not self.head_us:
+            return self.next_event(connection)
+        if not connection.parser.buffered:
+            connection.stream.wait_input()
+        limit = self.world.deadline(self.world.now_us() + self.head_us)
+        try:
+            with limit:
+                return self.next_event(connection)
+        except DeadlineExceeded:
+            if limit.passed:
+                raise _spoilt("the head does not end") from None
+            raise
+
     def next_event(self, connection: Connection) -> http1.Event:
         """The next event of a response. Raises ExchangeBroken."""
         try:
@@ -136,9 +153,7 @@
         except StreamError as error:
             raise ExchangeBroken(str(error)) from None
         except http1.ProtocolError as error:
-            broken = ExchangeBroken(error.reason)
-            broken.spoilt = True
-            raise broken from None
+            raise _spoilt(error.reason) from None
 
     def keep(self, key: tuple[str, int], connection: Connection) -> None:
         """Put a connection aside for the next request."""
@@ -184,4 +199,10 @@
         return Connection(stream, http1.ResponseParser(limits=self.limits))
 
 
+def _spoilt(reason: str) -> ExchangeBroken:
+    broken = ExchangeBroken(reason)
+    broken.spoilt = True
+    return broken
+
+
 __all__ = ["ConnectError", "ExchangeBroken", "HttpClient", "NotSent", "Response"]
--- a/yardspindle/node/app.py
+++ b/yardspindle/node/app.py
@@ -30,8 +30,12 @@
 STALLED_CLIENT_US = 10_000_000
 IDLE_CLIENT_US = 60_000_000
 CLIENTS_PART = 0.55  # of the descriptors; for requests clients hold at most a third, the rest is room to refuse in
+HEAD_US = 500_000  # from the first byte of a host's head to its last, which come together
 KEPT_PART = 1 / 64  # of the descriptors: connections kept to each host
 IDLE_PART = 0.6  # of the time after which a host closes an idle connection
+KILL_AFTER_MOST_US = 3_000_000  # SIGKILL comes this long after SIGTERM, or the longest deadline if that is shorter,
+KILL_SLACK_US = 400_000  # and 0.7 s more, of which this much is used
+LAST_WORDS_US = 150_000  # for the answers and releases of those that were left
 STILL_SERVING_US = 900_000  # after SIGTERM; new connections keep coming for 0.4 s, and 0.7 s are owed to them
 
 
@@ -49,7 +53,7 @@
         self.policy = policy
         self.hosts = HostList(config.roles)
         kept = max(int(config.limits.sockets * KEPT_PART), 2)
-        self.http = HttpClient(world, config.connect_us, round(config.idle_us * IDLE_PART), kept, LIMITS)
+        self.http = HttpClient(world, config.connect_us, round(config.idle_us * IDLE_PART), kept, LIMITS, HEAD_US)
         self.executor = Executor(world, self.core, session, Hosts(self.http))
         self.discovery = Discovery(world, config.discovery, self.hosts, self._news)
         self._open_ids: set[bytes] = set()
@@ -89,10 +93,20 @@
         assert self._server is not None
         self._up = False
         log.line("draining", open=len(self.executor.running))
-        self.world.sleep_until(self.world.now_us() + STILL_SERVING_US)
+        told_us = self.world.now_us()
+        self.world.sleep_until(told_us + STILL_SERVING_US)
         self._server.close_idle()
         longest_us = max(round(cls.give_up_us) for cls in self.config.settings.classes)
-        self._server.drain(self.world.now_us() + longest_us)
+        leave_us = told_us + min(longest_us, KILL_AFTER_MOST_US) + KILL_SLACK_US
+        self.world.call_at(leave_us, self._leave)
+        self._server.drain(leave_us + LAST_WORDS_US)
+        while self.core.rooms.owed and self.world.now_us() < leave_us + LAST_WORDS_US:
+            self.world.sleep_until(self.world.now_us() + TICK_US)
+
+    def _leave(self) -> None:
+        """The process is about to be killed: every request gets its answer now, and streams end where they are."""
+        log.line("leaving", open=len(self.executor.running))
+        self.executor.perform(self.core.leave(self.world.now_us()))
 
     def _tick(self) -> None:
         kept_us = self.world.now_us()
--- a/yardspindle/node/executor.py
+++ b/yardspindle/node/executor.py
@@ -29,6 +29,7 @@
 FREE_US = 70_000  # for one host to hear of a release; the rule leaves time for a few
 FREE_FIRST_US = 50_000  # how long a new attempt waits for a release that is under way
 SILENT_STREAM_US = 4_500_000  # a stream that brings nothing for so long is ended; clients wait 5 s at most
+OPENING_US = 500_000  # from a stream's head to the end of its first event, which come together
 OPENING_MOST = 262_144  # bytes before the end of a stream's first event
 
 
@@ -171,6 +172,7 @@
 
     def _tried(self, command: c.Read | c.Write, run: Running) -> Ended | None:
         """How it ended; None when its request was over before its stream began."""
+        opening_limit = None
         try:
             with self._world.deadline(command.until_us):
                 self._wait_for_release(command.request)
@@ -182,12 +184,16 @@
                                         signal.set if signal is not None else _nothing)
                 if isinstance(said, Ended):
                     return said
+                opening_limit = self._world.deadline(self._world.now_us() + OPENING_US)
                 try:
-                    opening = self._opening(said)
+                    with opening_limit:
+                        opening = self._opening(said)
                 except BaseException:
                     said.abort()
                     raise
         except DeadlineExceeded:
+            if opening_limit is not None and opening_limit.passed:
+                return Ended(i.Status.ERROR, detail="the first event does not end")
             return Ended(i.Status.TIMEOUT)
         except ExchangeBroken as error:
             return Ended(i.Status.RESET, detail=str(error))
@@ -227,8 +233,10 @@
                 exchange.send(data)
                 tail = tail[-512:] + data
             return Ended(i.Status.SERVED, cached(tail))
-        except (ExchangeBroken, http1.ProtocolError) as error:
+        except ExchangeBroken as error:
             return Ended(i.Status.RESET, detail=f"stream broken: {error}")
+        except http1.ProtocolError as error:  # spoilt: its host is as good as any other
+            return Ended(i.Status.ERROR, detail=f"stream spoilt: {error}")
         except StreamError:  # the client left or takes nothing; the core is told by the exchange
             exchange.left()
             return Ended(i.Status.CANCELLED)
