Make lost attempts again, and take connections that break for no sign of a dead server

A trace of every attempt and a probe of what the policy believed gave four causes: (1) requests swallowed on new connections (written, connection open, nothing came; requests sent later to the same host were read in 50 ms) were waited for to the deadline; Policy._late took their reader for jammed and `tokens` kept everything else away by the bound; (2) kept connections reset at their next request and connections reset while being made counted as strikes (Policy._outcome); (3) one strike made a host cold (_warmth) and the next answer a fresh start (_alive), 0.26 of its traffic for 14 s; (4) connections kept longer than something on the way keeps them. Ruled out: our sockets (poll showed nothing unread on the hung ones), the writers (118 of 120 refusals had one), CPU.

--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -416,3 +416,68 @@
 def test_invalid_settings_name_the_field(field: str, value: object) -> None:
     with pytest.raises(ValueError, match=field):
         settings(**{field: value})
+
+
+def test_a_read_that_got_lost_on_its_way_is_made_again_once_a_later_one_was_answered() -> None:
+    """A swallowed read was waited for to the deadline, and its reader passed for jammed all that time."""
+    router = Router("rw", cancel=True)
+    router.ask()
+    router.end(1, 0, 1, i.Status.READ)  # so that the reader's speed is known
+    router.feed(i.Hangup(1))
+    router.ask(session="lost")
+    assert not [a for a in router.sweep(300) if isinstance(a, i.Cancel)], "too soon to tell"
+    acts = router.ask(session="trial")
+    assert sends(acts) == [1], "the reader is tried, though a read has been out there for long"
+    router.now += 100 * MS
+    router.end(3, 0, 1, i.Status.READ)
+    acts = router.sweep(400)
+    assert i.Cancel(2, 0) in acts and [a for a in acts if isinstance(a, i.Send) and a.request == 2]
+    assert not router.end(2, 0, 1, i.Status.CANCELLED)
+    assert sends(router.end(2, 1, 1, i.Status.READ)) == [2]
+
+
+def test_a_read_that_nobody_overtook_is_waited_for() -> None:
+    """Reads that were repeated when a reader jammed kept it jammed."""
+    router = Router("rw", cancel=True)
+    router.ask()
+    assert not [a for a in router.sweep(2_500) if isinstance(a, i.Cancel | i.Send)]
+
+
+def test_an_overdue_read_does_not_hold_its_readers_bound() -> None:
+    """With a lost read of a long prompt at each reader, every request waited and was refused."""
+    router = Router("rw")
+    router.ask()
+    router.end(1, 0, 1, i.Status.READ)
+    router.feed(i.Hangup(1))
+    router.ask(prompt=5_000.0, session="lost")
+    assert router.policy.servers[1].tokens > 0
+    router.sweep(2_000)
+    assert router.policy.servers[1].tokens == 0
+
+
+def test_an_unsafe_write_that_got_lost_is_not_made_again() -> None:
+    router = Router("rw", cancel=True)
+    router.ask("once")
+    router.end(1, 0, 1, i.Status.READ)
+    router.ask()
+    router.now += 100 * MS
+    router.end(2, 0, 1, i.Status.READ)
+    router.feed(i.First(2, 1, 2, 10 * MS))
+    assert not [a for a in router.sweep(2_500) if getattr(a, "request", 0) == 1 and not isinstance(a, i.Fail)]
+
+
+def test_a_reset_connection_strikes_nobody_and_a_reset_alone_makes_no_server_cold() -> None:
+    """Resets of kept connections had most of a warm fleet set aside, and counted as freshly started."""
+    router = Router("rw")
+    reader = router.policy.servers[1]
+    for number, (status, stale, strikes) in enumerate([
+            (i.Status.RESET, True, 0), (i.Status.CONNECT_FAILED, True, 0), (i.Status.RESET, False, 1)], 1):
+        assert sends(router.ask()) == [1]
+        router.feed(i.Outcome(number, 0, 1, status, 1 * MS, False, stale=stale))
+        assert reader.strikes == strikes
+        router.feed(i.Hangup(number))
+    assert router.policy._warmth(reader) == 1
+    router.sweep(300)
+    router.ask()
+    router.end(4, 0, 1, i.Status.READ)
+    assert reader.strikes == 0 and router.policy._warmth(reader) == 1
--- a/yardspindle/core/edge_core.py
+++ b/yardspindle/core/edge_core.py
@@ -81,10 +81,10 @@
         return begun, self._out(now_us, self.life.told())
 
     def attempt_ended(self, now_us: int, request: int, number: int, status: i.Status, note: int = 0,
-                      state: Any = None) -> list[c.Command]:
+                      state: Any = None, stale: bool = False) -> list[c.Command]:
         """An attempt ended by itself or by its time-out."""
         self.watch.ended(now_us, request, number, status, note)
-        return self._out(now_us, self.life.attempt_ended(now_us, request, number, status, note, state))
+        return self._out(now_us, self.life.attempt_ended(now_us, request, number, status, note, state, stale))
 
     def tick(self, now_us: int) -> list[c.Command]:
         """Look at the clock."""
--- a/yardspindle/core/lifecycle.py
+++ b/yardspindle/core/lifecycle.py
@@ -344,8 +344,8 @@
         return self._take()
 
     def attempt_ended(self, now_us: int, request: int, number: int, status: i.Status, note: int = 0,
-                      state: Any = None) -> list[c.Command]:
-        """An attempt ended by itself or by its time-out; `state` comes with a read."""
+                      state: Any = None, stale: bool = False) -> list[c.Command]:
+        """An attempt ended by itself or by its time-out; `state` comes with a read, `stale` of a kept connection."""
         r = self.open.get(request)
         if r is None or r.out is None or r.out.number != number:
             return self._take()  # it was called off, and its end has been told
@@ -368,7 +368,7 @@
             served = status is i.Status.SERVED
             self._final(r, c.Final.SERVED if served else c.Final.FAILED, "served" if served else "stream_broken")
         self._tell(r, i.Outcome(request, number, out.server.number, status, now_us - out.sent_us,
-                                r.final is not None, note))
+                                r.final is not None, note, stale=stale))
         if r.final is None and not r.epoch:
             self._give_up(r, "planner_lost")
         self._settle(now_us, r)
--- a/yardspindle/engine/http_client.py
+++ b/yardspindle/engine/http_client.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from yardspindle.core.kept import KeptTrust
 from yardspindle.protocol import http1
 from yardspindle.runtime.scheduler import DeadlineExceeded
 from yardspindle.runtime.world import ConnectError, Stream, StreamError, World
@@ -18,9 +19,13 @@
 
 
 class ExchangeBroken(Exception):
-    """The connection broke, or spoke no HTTP (`spoilt`), after the request or a part of it was sent."""
+    """The connection broke, or spoke no HTTP (`spoilt`), after the request or a part of it was sent.
+
+    `stale`: it was a kept connection and brought nothing, so this says less of the server than of the connection.
+    """
 
     spoilt = False
+    stale = False
 
 
 class NotSent(ExchangeBroken):
@@ -33,7 +38,7 @@
 
     stream: Stream
     parser: http1.ResponseParser
-    used_us: int = 0
+    used_us: int = 0  # when it was last kept; 0 until then
 
 
 @dataclass(slots=True)
@@ -91,6 +96,7 @@
     idle_us: int
     idle_most: int = IDLE_MOST
     limits: http1.Limits = field(default_factory=http1.Limits)
+    trust: KeptTrust | None = None  # how long connections are kept by what became of them; else `idle_us` alone
     head_us: int = 0  # how long a head may take from its first byte to its last; 0: no bound
     counts: Counts = field(default_factory=Counts)
     _idle: dict[tuple[str, int], deque[Connection]] = field(default_factory=dict)
@@ -108,10 +114,7 @@
         connection.parser.expects(method)
         done = False
         try:
-            try:
-                connection.stream.write(data)
-            except StreamError as error:
-                raise NotSent(f"write: {error}") from None
+            self._write(connection, data)
             if written is not None:
                 written()
             while True:
@@ -119,10 +122,29 @@
                 if isinstance(event, http1.ResponseHead) and event.status >= 200:
                     done = True
                     return Response(self, key, connection, event)
+        except ExchangeBroken as error:
+            error.stale = bool(connection.used_us) and not error.spoilt and not connection.parser.buffered
+            if error.stale:
+                self._found_dead(connection)
+            raise
         finally:
             if not done:
                 connection.stream.abort()
 
+    def _write(self, connection: Connection, data: bytes) -> None:
+        try:
+            connection.stream.write(data)
+        except StreamError as error:
+            raise NotSent(f"write: {error}") from None
+
+    def _found_dead(self, connection: Connection) -> None:
+        if self.trust is not None:
+            now = self.world.now_us()
+            self.trust.broke(now, now - connection.used_us)
+
+    def _limit_us(self) -> int:
+        return self.idle_us if self.trust is None else self.trust.limit_us(self.world.now_us())
+
     def _head(self, connection: Connection) -> http1.Event:
         """The next head: one that has begun and does not end is as broken as one that cannot be read."""
         if not self.head_us:
@@ -170,7 +192,7 @@
 
     def close_old(self) -> None:
         """Close what was idle for longer than it may be; called now and then."""
-        oldest = self.world.now_us() - self.idle_us
+        oldest = self.world.now_us() - self._limit_us()
         for key, idle in list(self._idle.items()):
             while idle and idle[0].used_us < oldest:
                 idle.popleft().stream.close()
@@ -186,10 +208,13 @@
         idle = self._idle.get(key)
         while idle:
             connection = idle.pop()  # the one used last is the likeliest to be alive; old ones can time out
-            if self.world.now_us() - connection.used_us < self.idle_us and connection.stream.quiet():
+            fresh_enough = self.world.now_us() - connection.used_us < self._limit_us()
+            if fresh_enough and connection.stream.quiet():
                 self.counts.reused += 1
                 return connection
             self.counts.stale += 1
+            if fresh_enough:
+                self._found_dead(connection)
             connection.stream.close()
         return None
 
--- a/yardspindle/interface.py
+++ b/yardspindle/interface.py
@@ -217,6 +217,7 @@
     closed: bool
     note: int = 0
     load: Mapping[str, float] | None = None
+    stale: bool = False  # a kept connection, or one being made, was reset: that says little of the server
 
 
 @dataclass(frozen=True, slots=True)
--- a/yardspindle/node/app.py
+++ b/yardspindle/node/app.py
@@ -9,6 +9,7 @@
 from yardspindle.core.config import ConfigError
 from yardspindle.core.edge_core import EdgeCore
 from yardspindle.core.host_list import HostList
+from yardspindle.core.kept import KeptTrust
 from yardspindle.core.planning import PlanningSession
 from yardspindle.engine.http_client import HttpClient
 from yardspindle.node import log, request
@@ -53,7 +54,9 @@
         self.policy = policy
         self.hosts = HostList(config.roles)
         kept = max(int(config.limits.sockets * KEPT_PART), 2)
-        self.http = HttpClient(world, config.connect_us, round(config.idle_us * IDLE_PART), kept, LIMITS, HEAD_US)
+        idle_us = round(config.idle_us * IDLE_PART)
+        self.http = HttpClient(
+            world, config.connect_us, idle_us, kept, LIMITS, trust=KeptTrust(idle_us), head_us=HEAD_US)
         self.executor = Executor(world, self.core, session, Hosts(self.http))
         self.discovery = Discovery(world, config.discovery, self.hosts, self._news)
         self._open_ids: set[bytes] = set()
--- a/yardspindle/node/executor.py
+++ b/yardspindle/node/executor.py
@@ -168,7 +168,7 @@
             log.line("attempt failed", id=run.id.decode(), at=command.server.name, kind=type(command).__name__,
                      status=ended.status.value, detail=ended.detail)
         self.perform(self._core.attempt_ended(
-            self._world.now_us(), command.request, command.attempt, ended.status, ended.note))
+            self._world.now_us(), command.request, command.attempt, ended.status, ended.note, stale=ended.stale))
 
     def _tried(self, command: c.Read | c.Write, run: Running) -> Ended | None:
         """How it ended; None when its request was over before its stream began."""
@@ -177,7 +177,7 @@
             with self._world.deadline(command.until_us):
                 self._wait_for_release(command.request)
                 left_ms = max((command.until_us - self._world.now_us()) // 1_000, 1)
-                headers = [(b"host", b"api.internal"), (b"req-id", run.id), (b"req-deadline-ms", b"%d" % left_ms),
+                headers = [(b"req-id", run.id), (b"req-deadline-ms", b"%d" % left_ms),
                            (b"content-type", b"application/json")]
                 signal = run.sent.get(command.attempt)
                 said = self._hosts.send(command.server, run.exchange.head.target, headers, run.exchange.body,
--- a/yardspindle/node/hosts.py
+++ b/yardspindle/node/hosts.py
@@ -11,6 +11,7 @@
 from yardspindle.interface import Status
 from yardspindle.protocol import http1
 from yardspindle.protocol.chunks import ChunkReader
+from yardspindle.runtime.world import ConnectReset
 
 ROOMS = b"/bootstrap/rooms/"
 BODY_MOST = 262_144  # of a whole body, and of a chunk of a stream
@@ -26,6 +27,7 @@
     status: Status
     note: int = 0
     detail: str = ""
+    stale: bool = False  # the connection was reset in a way that says little of the host
 
 
 class Stream:
@@ -82,10 +84,12 @@
         """Send the request to a reader or writer and wait for what it says, or for the head of its stream."""
         try:
             response = self.http.request(server.host, server.port, b"POST", target, headers, body, written)
-        except (ConnectError, NotSent) as error:
-            return Ended(Status.CONNECT_FAILED, detail=str(error))
+        except ConnectError as error:
+            return Ended(Status.CONNECT_FAILED, detail=str(error), stale=isinstance(error, ConnectReset))
+        except NotSent as error:
+            return Ended(Status.CONNECT_FAILED, detail=str(error), stale=error.stale)
         except ExchangeBroken as error:
-            return Ended(Status.ERROR if error.spoilt else Status.RESET, detail=str(error))
+            return Ended(Status.ERROR if error.spoilt else Status.RESET, detail=str(error), stale=error.stale)
         head = response.head
         if head.status == 200:
             return Stream(response)
--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -46,11 +46,14 @@
     tokens: float = 0.0  # own prompt tokens waiting at the reader
     streams: int = 0  # own answers and places at the writer
     strikes: int = 0  # failed connections since it last answered
+    struck_us: int = 0  # when the first of them was seen
+    refused: int = 0  # those of them that were never made
     shut_until: int = 0
     full: dict[str | None, tuple[int, int]] = field(default_factory=dict)  # by tenant: shut until, times full
     kept: dict[str, float] = field(default_factory=dict)  # texts it has read for us: tokens
     late_us: float = 0.0  # how long a read there last took beyond its own reading, seen when
     late_at: int = 0
+    answered_us: int = LONG_AGO_US  # when the latest sent attempt that it has answered was sent
 
 
 @dataclass(slots=True)
@@ -72,6 +75,7 @@
     pinned_us: int = 0  # since when a state or place is held with no attempt out; 0 when none
     ran: bool = False  # an attempt at a writer may have run
     avoid: set[int] = field(default_factory=set)
+    given_up: set[int] = field(default_factory=set)  # attempts called off; their outcomes are still to come
     asked: set[int] = field(default_factory=set)  # writers that had no place for it
 
 
@@ -134,6 +138,7 @@
                 entry.server, Server(entry, kind.role, kind.memory_tokens, entry.up_since_us or LONG_AGO_US))
             if entry.up_since_us > known.entry.up_since_us:  # restarted: what we held against it is void
                 known.strikes, known.shut_until, known.since_us = 0, 0, entry.up_since_us
+                known.refused = 0
                 known.full.clear()
                 known.kept.clear()
             known.entry = entry if entry.units > 0 else replace(entry, units=1e-9)
@@ -164,19 +169,24 @@
 
     def _strike(self, server: Server, why: str) -> None:  # pause it, then let single trials through
         server.strikes += 1
+        server.refused += why == i.Status.CONNECT_FAILED.value
         if server.strikes == 1:
+            server.struck_us = self.now
             self.acts.append(i.Log(f"set aside {server.entry.server}: {why}"))
         server.shut_until = self.now + TRIAL_US * (1 << min(server.strikes - 1, 3))
 
-    def _alive(self, server: Server, r: Open) -> None:  # it lives and takes the tenant's work
-        if server.strikes:  # it restarted, and the list, seconds late, has not told yet
+    def _alive(self, server: Server, r: Open, sent: int | None) -> None:  # lives, and takes the tenant's work
+        # It was down, so it restarted, and the list, seconds late, has not told yet. Connections that broke
+        # on the way are no restart: taken for one, a few resets had most of a warm fleet count as cold.
+        if server.refused and (sent or self.now) >= server.struck_us:
             server.since_us = self.now
-        server.strikes = 0
+        server.strikes = server.refused = 0
+        server.answered_us = max(server.answered_us, sent or LONG_AGO_US)
         server.full.pop(r.ask.tenant, None)
 
     def _warmth(self, server: Server) -> float:
         """What part of its capacity a server has surely regained; its ramp is not told: take a line."""
-        age = 0 if server.strikes else self.now - server.since_us  # if struck it may be back, freshly started
+        age = 0 if server.refused else self.now - server.since_us  # refused: it may be back, freshly started
         start = self.set.start_capacity
         return start + (1 - start) * min(max(age, 0) / max(self.set.cold_us, 1), 1.0)
 
@@ -188,7 +198,8 @@
     def _usable(self, server: Server, r: Open) -> bool:  # not shut (for the tenant), no trial out
         shut = max(server.shut_until, server.full.get(r.ask.tenant, (0, 0))[0])
         return (not server.gone and self.now >= shut
-                and not (server.strikes and server.out) and server.entry.server not in r.avoid)
+                and not (server.strikes and server.out and self.now - max(server.out.values()) < TRIAL_US)
+                and server.entry.server not in r.avoid)
 
     # --- reader choice
 
@@ -196,10 +207,29 @@
         # Where many routers fill a reader, reads came late, were repeated, and the jam outlived its cause.
         late = max(server.late_us - (self.now - server.late_at),
                    0.0 if self.cells.get(server.entry.cell, (0.0, 0.0))[1] else self._slow(server.entry.cell))
-        for (number, _), sent in list(server.out.items())[:1]:  # the oldest that is out may be later still
-            late = max(late, self.now - sent - self.open[number].new / max(self.best_rate, 1e-9))
+        out = [(number, sent) for (number, _), sent in server.out.items() if sent >= server.answered_us]
+        # The oldest that is out may be later still. One request lost on its way looks like a reader that
+        # jams, as long as nothing else is sent there: so trials go, each after twice the time of the last.
+        if out and self.now - out[-1][1] < max(TRIAL_US, (self.now - out[0][1]) / 2):
+            late = max(late, self.now - out[0][1] - self._own(self.open[out[0][0]]))
         return late
 
+    def _own(self, r: Open) -> float:  # the time that its read takes with nothing in its way
+        return r.new / max(self.best_rate, 1e-9)
+
+    def _lost(self, r: Open) -> bool:
+        """Whether its attempt got lost on its way: others that were sent after it have been answered."""
+        # Machines between a router and its servers swallow requests without a word: waited for to the end,
+        # each is lost. A server that hangs or jams answers none that came later, and is not meant here.
+        seq, server = next(iter(r.out.items()))
+        sent = server.out.get((r.ask.request, seq), self.now)
+        if self.now - sent <= LATE_AIM_PART * r.aim_us + 2 * self._own(r):
+            return False
+        if server.role is i.Role.READ:  # its tokens need not wait there: they no longer keep others away
+            server.tokens, r.new = server.tokens - r.new, 0.0
+        may = server.role is i.Role.READ or r.cls.effect is i.Effect.SAFE
+        return self.set.cancel and may and server.answered_us > sent
+
     def _longer(self, late_us: float) -> float:  # for how long to keep off what was late, or did not answer
         # When many routers each try a jammed reader or link again once its lateness is worked off, they feed
         # the jam for good: its queue is work whose clients left. A read of each other longer lets it clear.
@@ -383,8 +413,9 @@
             self._end(r, None)
         elif isinstance(event, i.First) and event.attempt in r.out:
             at = r.out[event.attempt]
-            self._moved(r, at, at.out.pop((event.request, event.attempt), None), first=True)
-            self._alive(r.out[event.attempt], r)
+            sent = at.out.pop((event.request, event.attempt), None)
+            self._moved(r, at, sent, first=True)
+            self._alive(at, r, sent)
             r.pinned_us = 0
         elif isinstance(event, i.Note) and not event.held and r.place is not None:
             # The one sure sign of a full writer: ask the next during the read. (The note names the reader.)
@@ -402,20 +433,25 @@
             times = server.full.get(r.ask.tenant, (0, 0))[1]
             pause = max(BUSY_US, FULL_TIMES * event.latency_us) * (times + 1)
             server.full[r.ask.tenant] = self.now + pause, times + 1
-        elif status in (i.Status.CONNECT_FAILED, i.Status.RESET):
+        elif status in (i.Status.CONNECT_FAILED, i.Status.RESET) and not event.stale:
+            # A kept connection that broke under its next request, or one reset while it was made, says that
+            # connections break: not that a server died.
             self._strike(server, status.value)
-        if status is i.Status.TIMEOUT and server.role is i.Role.READ:
+        sent = self.now - event.latency_us
+        if status is i.Status.TIMEOUT and server.role is i.Role.READ and sent >= server.answered_us:
             server.late_us, server.late_at = self._longer(max(event.latency_us, self.least_aim)), self.now
         if r is None:
             if status is i.Status.READ:  # read for a request that has ended: nothing may stay pinned
                 self.acts.append(i.Discard(event.request))
             return None
-        read = self._uncount(r, event.attempt)
+        read = event.attempt in r.out and self._uncount(r, event.attempt)
         if event.closed:
             return self._end(r, None)
+        if event.attempt in r.given_up:
+            return None  # its state, if it left one, is let go of with what the request holds at its end
         if read:
             if status is i.Status.READ:
-                self._alive(server, r)
+                self._alive(server, r, sent)
                 self._learn(server, event, r)
                 r.pinned_us = self.now
                 return self._next(r)
@@ -465,8 +501,21 @@
         self._drop_held(r)
         self.open.pop(r.ask.request, None)
 
+    def _again(self, r: Open) -> None:  # its attempt got lost: another instead
+        seq, server = next(iter(r.out.items()))
+        self.acts.append(i.Cancel(r.ask.request, seq))
+        r.given_up.add(seq)
+        if self._uncount(r, seq):
+            self._drop_held(r)
+            return self._start(r)
+        r.ran, r.pinned_us = True, self.now
+        r.avoid.add(server.entry.server)
+        return self._next(r)
+
     def _sweep(self) -> None:
         self.sweep_set = False
+        for r in [r for r in self.open.values() if r.out and self._lost(r)]:
+            self._again(r)
         waiting = [r for r in self.open.values() if not r.out]
         for r in sorted(waiting, key=lambda r: -r.cls.worth):  # the scarce room to the most worth
             if self.now >= r.ask.expires_us - 2 * SWEEP_US:
--- a/yardspindle/runtime/real.py
+++ b/yardspindle/runtime/real.py
@@ -24,7 +24,7 @@
     Signal,
     Task,
 )
-from yardspindle.runtime.world import ConnectError, Listener, MessageSocket, Stream, StreamError
+from yardspindle.runtime.world import ConnectError, ConnectReset, Listener, MessageSocket, Stream, StreamError
 
 if TYPE_CHECKING:
     import zmq
@@ -296,14 +296,17 @@
                     self.poller.block(self.scheduler, sock.fileno(), WRITE_MASK)
                 code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code:
-                raise ConnectError(os.strerror(code))
+                raise (ConnectReset if code == errno.ECONNRESET else ConnectError)(os.strerror(code))
             return RealStream(self, sock)
         except DeadlineExceeded:
             sock.close()
             raise ConnectError("no connection in time") from None
-        except (OSError, ConnectError) as error:
+        except OSError as error:
             sock.close()
             raise ConnectError(str(error)) from None
+        except ConnectError:
+            sock.close()
+            raise
         except Cancelled:
             sock.close()
             raise
--- a/yardspindle/runtime/world.py
+++ b/yardspindle/runtime/world.py
@@ -22,6 +22,10 @@
     """No connection was made: nothing was sent."""
 
 
+class ConnectReset(ConnectError):
+    """It was reset while it was made: something there took it, and let it go."""
+
+
 class Stream(Protocol):
     """A connected byte stream."""
 
