Serve kept connections until 2.2 s after SIGTERM, and move streams at 2.6 s

The log: the second dispatcher is told to end 3.0 s after the first, which is back 4.6 s after its own SIGTERM, whenever it left (a probe that left a second earlier came back at the same time). So streams broken off at 3.4 s found nobody to ask for the rest, and clients sent away at 0.9 s found nobody to connect to. Ruled out: the four new configurations (no request failed around them), hosts' drains.

--- a/yardspindle/core/lifecycle.py
+++ b/yardspindle/core/lifecycle.py
@@ -163,7 +163,7 @@
                 continue
             if r.out is not None:
                 self._abort(now_us, r)
-            self._give_up(r, "draining")
+            self._give_up(r, "draining", 0)  # others are there: no time to wait for
         return self._take()
 
     def servers(self, now_us: int, listed: list[Server]) -> list[c.Command]:
@@ -393,10 +393,11 @@
 
     # --- ends
 
-    def _give_up(self, r: Open, code: str) -> None:
+    def _give_up(self, r: Open, code: str, retry_after_us: int | None = None) -> None:
         """Answer without a planner, at once: refuse where trying again is harmless."""
         if harmless_to_repeat(r.effect, r.ran):
-            self._final(r, c.Final.REFUSED, code, self.rules.retry_after_us)
+            self._final(r, c.Final.REFUSED, code,
+                        self.rules.retry_after_us if retry_after_us is None else retry_after_us)
         else:
             self._final(r, c.Final.FAILED, "may_have_run")
         self._release(r)
--- a/yardspindle/node/app.py
+++ b/yardspindle/node/app.py
@@ -35,9 +35,10 @@
 KEPT_PART = 1 / 64  # of the descriptors: connections kept to each host
 IDLE_PART = 0.6  # of the time after which a host closes an idle connection
 KILL_AFTER_MOST_US = 3_000_000  # SIGKILL comes this long after SIGTERM, or the longest deadline if that is shorter,
-KILL_SLACK_US = 400_000  # and 0.7 s more, of which this much is used
+KILL_MORE_US = 700_000  # and so much more
+LEAVE_BEFORE_US = 1_100_000  # before it, what is open moves: the next dispatcher may be told to end when we are killed
+CLOSE_BEFORE_US = 1_500_000  # before it, clients are sent away: until then another may not be there for them
 LAST_WORDS_US = 150_000  # for the answers and releases of those that were left
-STILL_SERVING_US = 900_000  # after SIGTERM; new connections keep coming for 0.4 s, and 0.7 s are owed to them
 
 
 class Node:
@@ -96,11 +97,11 @@
         assert self._server is not None
         self._up = False
         log.line("draining", open=len(self.executor.running))
-        told_us = self.world.now_us()
-        self.world.sleep_until(told_us + STILL_SERVING_US)
-        self._server.close_idle()
         longest_us = max(round(cls.give_up_us) for cls in self.config.settings.classes)
-        leave_us = told_us + min(longest_us, KILL_AFTER_MOST_US) + KILL_SLACK_US
+        kill_us = self.world.now_us() + min(longest_us, KILL_AFTER_MOST_US) + KILL_MORE_US
+        self.world.sleep_until(kill_us - CLOSE_BEFORE_US)
+        self._server.close_idle()
+        leave_us = kill_us - LEAVE_BEFORE_US
         self.world.call_at(leave_us, self._leave)
         self._server.drain(leave_us + LAST_WORDS_US)
         while self.core.rooms.owed and self.world.now_us() < leave_us + LAST_WORDS_US:
