--- a/tests/test_node_cores.py
+++ b/tests/test_node_cores.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -122,6 +123,19 @@
     assert not core.life.open
 
 
+@pytest.mark.parametrize("resume", [False, True])
+def test_a_move_breaks_off_what_streams_where_clients_ask_for_the_rest(resume: bool) -> None:
+    core = EdgeCore(replace(RULES, resume=resume))
+    core.planner_up(0, 1)
+    core.servers(0, [server(READER, i.Role.READ), server(WRITER, i.Role.WRITE)])
+    reading(core)
+    core.attempt_ended(10, 1, 0, i.Status.READ)
+    core.act(20, 1, i.Send(1, WRITER))
+    assert kinds(core.act(25, 1, i.Move(1))) == []  # nothing has begun
+    core.first_token(30, 1, 1)
+    assert kinds(core.act(40, 1, i.Move(1))) == (["Answer", "Abort"] if resume else [])
+
+
 # --- whom to tell
 
 def test_a_host_that_does_not_answer_is_no_excuse() -> None:
--- a/yardspindle/core/lifecycle.py
+++ b/yardspindle/core/lifecycle.py
@@ -38,6 +38,7 @@
     max_attempts: int
     most_open: int
     writers_read: bool = False
+    resume: bool = False  # clients ask for the rest of a stream that was broken off
     release_whole: bool = False  # engines let go of all that is held for a request together, and of nothing less
 
 
@@ -158,8 +159,7 @@
             if r.final is not None:
                 continue
             if r.streaming:
-                self._final(r, c.Final.FAILED, "draining")
-                self._settle(now_us, r)
+                self._move(now_us, r)
                 continue
             if r.out is not None:
                 self._abort(now_us, r)
@@ -215,10 +215,12 @@
                 self._with(action.request, lambda r: self._answer(now_us, r, c.Final.FAILED, "gave_up"))
             case i.Cancel():
                 self._with(action.request, lambda r: self._cancel(now_us, r, action.attempt))
+            case i.Move() if self.rules.resume:
+                self._with(action.request, lambda r: self._move(now_us, r))
             case i.CloseIdle() if (server := self.directory.servers.get(action.server)) is not None:
                 self._commands.append(c.CloseIdle(server))
             case _:
-                pass  # timers, messages and lists are the planner's own; streams are not moved here
+                pass  # timers, messages and lists are the planner's own
         return self._take()
 
     def _with(self, request: int, do: Callable[[Open], None]) -> None:
@@ -298,6 +300,12 @@
             self._interlock(r, "refused though it may have run")
             self._answer(now_us, r, c.Final.FAILED, "may_have_run")
 
+    def _move(self, now_us: int, r: Open) -> None:
+        """Break a running stream off: its client comes again for the rest. What has not begun is left alone."""
+        if r.final is None and r.streaming:
+            self._final(r, c.Final.FAILED, "moved")
+            self._settle(now_us, r)
+
     def _cancel(self, now_us: int, r: Open, number: int) -> None:
         if r.out is not None and r.out.number == number and not r.streaming:
             self._abort(now_us, r)
--- a/yardspindle/node/config.py
+++ b/yardspindle/node/config.py
@@ -95,7 +95,7 @@
             drain_grace_us=mapped.drain_grace_us, answer_slack_us=mapped.answer_slack_us,
             retry_after_us=mapped.max_retry_after_us if mapped.retry_after else 0,
             max_attempts=mapped.max_attempts, most_open=int(allowed.get("max-open") or 1 << 20),
-            writers_read=mapped.writers_read, release_whole=True),
+            writers_read=mapped.writers_read, resume=mapped.resume, release_whole=True),
         connect_us=int(allowed.get("connect-timeout-us") or 250_000),
         idle_us=int(allowed.get("conn-idle-us") or 15_000_000))
 
--- a/yardspindle/runtime/real.py
+++ b/yardspindle/runtime/real.py
@@ -287,7 +287,7 @@
         try:
             sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
         except OSError as error:
-            raise ConnectError(os.strerror(error.errno or 0)) from None
+            raise ConnectReset(os.strerror(error.errno or 0)) from None
         try:
             sock.setblocking(False)
             code = sock.connect_ex((host, port))
--- a/yardspindle/runtime/world.py
+++ b/yardspindle/runtime/world.py
@@ -23,7 +23,7 @@
 
 
 class ConnectReset(ConnectError):
-    """It was reset while it was made: something there took it, and let it go."""
+    """It was reset while it was made, or this program has no descriptor left: that says little of the far side."""
 
 
 class Stream(Protocol):
