--- /dev/null
+++ b/tests/test_node_process.py
@@ -0,0 +1,115 @@
+"""The platform's dispatcher as a process: what it is told, its signals, its one line for a bad start."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from tests.platform_standin import SETTINGS
+from yardspindle.protocol import http1
+from yardspindle.runtime.real import RealWorld
+from yardspindle.runtime.scheduler import Closed
+from yardspindle.runtime.world import ConnectError, Stream, StreamError
+
+ROOT = Path(__file__).parent.parent
+
+
+def started(path: str, listen: str, discovery: str) -> subprocess.Popen[str]:
+    env = {**os.environ, "ROUTER_NAME": "n", "ROUTER_LISTEN": listen, "ROUTER_DISCOVERY": discovery,
+           "ROUTER_CONFIG": path}
+    return subprocess.Popen([sys.executable, "-m", "yardspindle.node"], cwd=ROOT, env=env, text=True,
+                            stderr=subprocess.PIPE, stdout=subprocess.DEVNULL)
+
+
+def test_it_serves_reads_new_configurations_and_ends_in_good_order(tmp_path: Path) -> None:
+    world = RealWorld(1)
+    asked: list[str] = []
+    path = tmp_path / "config.json"
+    news = world.signal()
+
+    def agent(name: str) -> str:
+        listener = world.listen("127.0.0.1", 0)
+
+        def serve(stream: Stream) -> None:
+            with contextlib.suppress(StreamError):  # the dispatcher turned to the other agent, or left
+                answer(stream)
+
+        def answer(stream: Stream) -> None:
+            parser = http1.RequestParser()
+            while data := stream.read():
+                parser.feed(data)
+                while (event := parser.next_event()) is not None:
+                    if isinstance(event, http1.RequestHead):
+                        asked.append(name)
+                        news.set()
+                        if b"index" in event.target:  # a watch: nothing comes
+                            continue
+                        stream.write(http1.write_response(200, [], json.dumps(
+                            {"revision": 1, "complete": True, "members": [
+                                {"id": "r", "host_port": "127.0.0.1:1", "flavor": "reads"}]}).encode()))
+
+        def accept() -> None:
+            try:
+                while True:
+                    world.spawn("serve", serve, listener.accept())
+            except Closed:
+                return
+
+        world.spawn("accept", accept)
+        return f"127.0.0.1:{listener.port}"
+
+    def up(port: int) -> bytes:
+        try:
+            stream = world.connect("127.0.0.1", port, world.now_us() + 1_000_000)
+        except ConnectError:
+            return b""
+        stream.write(b"GET /up HTTP/1.1\r\nhost: x\r\n\r\n")
+        return stream.read()[:12]
+
+    def main() -> tuple[int, str]:
+        nonlocal news
+        first, second = agent("first"), agent("second")
+        spare = world.listen("127.0.0.1", 0)
+        port = spare.port
+        spare.close()
+        path.write_text(json.dumps({"settings": SETTINGS}))
+        node = started(str(path), f"127.0.0.1:{port}", first)
+        try:
+            with world.deadline(world.now_us() + 20_000_000):
+                while up(port) != b"HTTP/1.1 200":
+                    world.sleep_until(world.now_us() + 20_000)
+                assert asked[0] == "first"
+                path.write_text("{")  # not taken: the list is followed where it was
+                node.send_signal(signal.SIGHUP)
+                path.write_text(json.dumps({"settings": SETTINGS, "discovery": second}))
+                news = world.signal()
+                node.send_signal(signal.SIGHUP)
+                while "second" not in asked:
+                    news.wait()
+                    news = world.signal()
+                assert up(port) == b"HTTP/1.1 200"
+                node.send_signal(signal.SIGTERM)
+                while up(port) == b"HTTP/1.1 200":
+                    world.sleep_until(world.now_us() + 5_000)
+                assert up(port) == b"HTTP/1.1 503"  # it still serves
+                while node.poll() is None:
+                    world.sleep_until(world.now_us() + 20_000)
+        finally:
+            if node.poll() is None:
+                node.kill()
+            _, log = node.communicate()
+        return node.returncode, log
+
+    code, log = world.run("main", main)
+    assert code == 0 and "ready name=n" in log and "draining" in log
+
+
+def test_a_bad_start_is_one_line(tmp_path: Path) -> None:
+    node = started(str(tmp_path / "none.json"), "127.0.0.1:1", "127.0.0.1:2")
+    _, log = node.communicate(timeout=20)
+    assert node.returncode == 2 and log == f"{tmp_path / 'none.json'}: No such file or directory\n"
--- a/yardspindle/node/app.py
+++ b/yardspindle/node/app.py
@@ -98,10 +98,12 @@
         self._up = False
         log.line("draining", open=len(self.executor.running))
         longest_us = max(round(cls.give_up_us) for cls in self.config.settings.classes)
-        kill_us = self.world.now_us() + min(longest_us, KILL_AFTER_MOST_US) + KILL_MORE_US
-        self.world.sleep_until(kill_us - CLOSE_BEFORE_US)
+        now = self.world.now_us()
+        kill_us = now + min(longest_us, KILL_AFTER_MOST_US) + KILL_MORE_US
+        close_us = max(kill_us - CLOSE_BEFORE_US, now + KILL_MORE_US)  # so long clients are owed in any case
+        self.world.sleep_until(close_us)
         self._server.close_idle()
-        leave_us = kill_us - LEAVE_BEFORE_US
+        leave_us = max(kill_us - LEAVE_BEFORE_US, close_us)
         self.world.call_at(leave_us, self._leave)
         self._server.drain(leave_us + LAST_WORDS_US)
         while self.core.rooms.owed and self.world.now_us() < leave_us + LAST_WORDS_US:
