Decide times to wait, descriptors and planned ends in core instead of node

Need: node/ is to translate and carry out, and held tuned values and the schedule of a planned end; Policy._lost answered a question and changed the reader's count on the way; a function took its own module's parser as an argument; the check of a request's id and the choice of an error's status stood there twice.

--- a/tests/test_node_cores.py
+++ b/tests/test_node_cores.py
@@ -11,11 +11,14 @@
 
 from yardspindle import interface as i
 from yardspindle.core import commands as c
+from yardspindle.core.departure import departure
 from yardspindle.core.directory import Server
 from yardspindle.core.edge_core import EdgeCore
 from yardspindle.core.host_list import HostList, ListAnswer, Member
+from yardspindle.core.kept import DOUBT_US, KeptTrust
 from yardspindle.core.lifecycle import EdgeRules
 from yardspindle.core.rooms import AGAIN_US, TRIES_AT_ONCE, Rooms
+from yardspindle.core.shares import Shares
 from yardspindle.protocol.chunks import ChunkReader
 from yardspindle.protocol.http1 import ProtocolError
 
@@ -220,3 +223,32 @@
 def test_a_spoilt_chunk_is_found_at_once(spoilt: bytes) -> None:
     with pytest.raises(ProtocolError):
         ChunkReader(1_000).feed(spoilt)
+
+
+# --- a planned end, and who may hold what
+
+@given(st.integers(0, 60_000_000))
+def test_a_departure_serves_what_is_owed_and_is_over_before_the_kill(longest_us: int) -> None:
+    times = departure(1_000_000, longest_us)
+    kill_us = 1_000_000 + min(longest_us, 3_000_000) + 700_000
+    assert times.close_us - 1_000_000 >= 700_000
+    assert times.close_us <= times.leave_us <= times.gone_us
+    assert times.gone_us < kill_us or longest_us < 150_000  # none can be, where nothing is left of the time
+
+
+@pytest.mark.parametrize("sockets", [16, 256, 768, 1024])
+def test_descriptors_suffice_for_clients_their_streams_and_what_is_kept(sockets: int) -> None:
+    shares = Shares(sockets)
+    hosts, requests = 11, sockets // 3  # a third is the most that clients hold for requests
+    assert shares.clients > requests
+    if sockets >= 256:
+        assert shares.clients + requests <= sockets and shares.kept * hosts <= sockets // 5
+
+
+def test_a_kept_connection_found_dead_young_shortens_trust_for_a_while() -> None:
+    trust = KeptTrust(9_000_000)
+    trust.broke(0, 4_000_000)
+    assert trust.limit_us(1) == 2_000_000
+    trust.broke(1, 8_000_000)
+    assert trust.limit_us(2) == 2_000_000  # one that lived longer says nothing new
+    assert trust.limit_us(DOUBT_US + 2) == 9_000_000
--- /dev/null
+++ b/yardspindle/core/shares.py
@@ -0,0 +1,26 @@
+"""How a dispatcher divides its descriptors among clients, hosts and connections kept for later."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+CLIENTS_PART = 0.55  # for requests clients hold at most a third; the rest is room to refuse in, and for the idle
+KEPT_PART = 1 / 64  # to each host: a dozen hosts keep a fifth at most
+KEPT_LEAST = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """What each may hold of `sockets` descriptors."""
+
+    sockets: int
+
+    @property
+    def clients(self) -> int:
+        """Client connections, those that say nothing among them."""
+        return max(int(self.sockets * CLIENTS_PART), 1)
+
+    @property
+    def kept(self) -> int:
+        """Idle connections to each host."""
+        return max(int(self.sockets * KEPT_PART), KEPT_LEAST)
--- a/yardspindle/node/__main__.py
+++ b/yardspindle/node/__main__.py
@@ -9,8 +9,8 @@
 
 from yardspindle.core.config import ConfigError
 from yardspindle.node import log
-from yardspindle.node.app import Node, read_config
-from yardspindle.node.config import parse, variables
+from yardspindle.node.app import Node
+from yardspindle.node.config import read, variables
 from yardspindle.runtime.real import RealWorld
 from yardspindle.runtime.scheduler import Task
 
@@ -20,7 +20,7 @@
     world = RealWorld()
     try:
         told = variables(os.environ)
-        node = Node(world, read_config(world.read_file, told, parse))
+        node = Node(world, read(world.read_file, told))
         world.run("node", lambda: program(world, node, told))
     except ConfigError as error:
         print(error, file=sys.stderr)
@@ -35,7 +35,7 @@
     """The first task: signals, start, and the end."""
     def reload() -> None:
         try:
-            node.reload(read_config(world.read_file, told, parse))
+            node.reload(read(world.read_file, told))
         except ConfigError as error:
             log.line("the new configuration is not taken", fault=error)
 
--- a/yardspindle/node/app.py
+++ b/yardspindle/node/app.py
@@ -6,11 +6,14 @@
 
 from yardspindle.api.serving import Exchange, Reply, Server, ServingLimits
 from yardspindle.core import commands as c
-from yardspindle.core.config import ConfigError
+from yardspindle.core import patience
+from yardspindle.core.answer import http_of
+from yardspindle.core.departure import departure
 from yardspindle.core.edge_core import EdgeCore
 from yardspindle.core.host_list import HostList
 from yardspindle.core.kept import KeptTrust
 from yardspindle.core.planning import PlanningSession
+from yardspindle.core.shares import Shares
 from yardspindle.engine.http_client import HttpClient
 from yardspindle.node import log, request
 from yardspindle.node.config import NodeConfig
@@ -24,21 +27,8 @@
 
 TICK_US = 20_000  # how often the core's own deadlines are looked at; as often as the policy's
 HOUSEKEEPING_US = 1_000_000
-FIRST_LIST_US = 1_000_000  # how long "up" waits for discovery when a list is known already
 UP = b"/up"
 CLIENT_LIMITS = http1.Limits(line=8_192, head=16_384, headers=64, body=262_144)
-SILENT_CLIENT_US = 2_000_000  # a connection that has brought nothing, and a request that does not come to its end
-STALLED_CLIENT_US = 10_000_000
-IDLE_CLIENT_US = 60_000_000
-CLIENTS_PART = 0.55  # of the descriptors; for requests clients hold at most a third, the rest is room to refuse in
-HEAD_US = 500_000  # from the first byte of a host's head to its last, which come together
-KEPT_PART = 1 / 64  # of the descriptors: connections kept to each host
-IDLE_PART = 0.6  # of the time after which a host closes an idle connection
-KILL_AFTER_MOST_US = 3_000_000  # SIGKILL comes this long after SIGTERM, or the longest deadline if that is shorter,
-KILL_MORE_US = 700_000  # and so much more
-LEAVE_BEFORE_US = 1_100_000  # before it, what is open moves: the next dispatcher may be told to end when we are killed
-CLOSE_BEFORE_US = 1_500_000  # before it, clients are sent away: until then another may not be there for them
-LAST_WORDS_US = 150_000  # for the answers and releases of those that were left
 
 
 class Node:
@@ -54,10 +44,10 @@
         session = PlanningSession(lambda event, at_us: policy.handle(at_us, event), now, now)
         self.policy = policy
         self.hosts = HostList(config.roles)
-        kept = max(int(config.limits.sockets * KEPT_PART), 2)
-        idle_us = round(config.idle_us * IDLE_PART)
-        self.http = HttpClient(
-            world, config.connect_us, idle_us, kept, LIMITS, trust=KeptTrust(idle_us), head_us=HEAD_US)
+        self.shares = Shares(config.limits.sockets)
+        idle_us = round(config.idle_us * patience.IDLE_PART)
+        self.http = HttpClient(world, config.connect_us, idle_us, self.shares.kept, LIMITS,
+                               trust=KeptTrust(idle_us), head_us=patience.HEAD_US)
         self.executor = Executor(world, self.core, session, Hosts(self.http))
         self.discovery = Discovery(world, config.discovery, self.hosts, self._news)
         self._open_ids: set[bytes] = set()
@@ -71,8 +61,10 @@
         """Listen, take the list that is known, and serve once discovery was heard. Raises OSError."""
         config = self.config
         listener = self.world.listen(*config.listen)
-        limits = ServingLimits(CLIENT_LIMITS, IDLE_CLIENT_US, SILENT_CLIENT_US, STALLED_CLIENT_US, SILENT_CLIENT_US,
-                               SILENT_CLIENT_US, int(config.limits.sockets * CLIENTS_PART))
+        limits = ServingLimits(
+            CLIENT_LIMITS, idle_us=patience.IDLE_CLIENT_US, header_us=patience.SILENT_CLIENT_US,
+            stalled_us=patience.STALLED_CLIENT_US, fresh_us=patience.SILENT_CLIENT_US,
+            body_us=patience.SILENT_CLIENT_US, most=self.shares.clients)
         self._server = Server(self.world, listener, self, limits, _fault)
         self.executor.perform(self.core.planner_up(self.world.now_us(), EPOCH))
         self.hosts.known(config.known)
@@ -81,7 +73,7 @@
         self.world.spawn("accept", self._server.serve)
         self.world.spawn("tick", self._tick)
         try:
-            with self.world.deadline(self.world.now_us() + FIRST_LIST_US):
+            with self.world.deadline(self.world.now_us() + patience.FIRST_LIST_US):
                 self.discovery.answered.wait()
         except DeadlineExceeded:
             log.line("discovery has not answered yet", known=len(self.hosts))
@@ -98,15 +90,12 @@
         self._up = False
         log.line("draining", open=len(self.executor.running))
         longest_us = max(round(cls.give_up_us) for cls in self.config.settings.classes)
-        now = self.world.now_us()
-        kill_us = now + min(longest_us, KILL_AFTER_MOST_US) + KILL_MORE_US
-        close_us = max(kill_us - CLOSE_BEFORE_US, now + KILL_MORE_US)  # so long clients are owed in any case
-        self.world.sleep_until(close_us)
+        times = departure(self.world.now_us(), longest_us)
+        self.world.sleep_until(times.close_us)
         self._server.close_idle()
-        leave_us = max(kill_us - LEAVE_BEFORE_US, close_us)
-        self.world.call_at(leave_us, self._leave)
-        self._server.drain(leave_us + LAST_WORDS_US)
-        while self.core.rooms.owed and self.world.now_us() < leave_us + LAST_WORDS_US:
+        self.world.call_at(times.leave_us, self._leave)
+        self._server.drain(times.gone_us)
+        while self.core.rooms.owed and self.world.now_us() < times.gone_us:
             self.world.sleep_until(self.world.now_us() + TICK_US)
 
     def _leave(self) -> None:
@@ -139,13 +128,17 @@
         if head.target == UP and head.method in (b"GET", b"HEAD"):
             return Reply(200 if self._up else 503, [], b"")
         try:
-            asked = request.read_head(head, self.core.life.rules.effects)
-            if asked.id in self._open_ids:
-                raise request.Refused(409, "Req-Id: open already")
+            self._asked(head)
         except request.Refused as refused:
             return _error(refused.status, refused.reason)
         return None
 
+    def _asked(self, head: http1.RequestHead) -> request.Asked:
+        asked = request.read_head(head, self.core.life.rules.effects)
+        if asked.id in self._open_ids:
+            raise request.Refused(409, "Req-Id: open already")
+        return asked
+
     def malformed(self, error: http1.ProtocolError) -> Reply:
         """See Handler."""
         return _error(error.status, error.reason)
@@ -154,9 +147,7 @@
         """See Handler."""
         came_us = self.world.now_us()
         try:
-            asked = request.read_head(exchange.head, self.core.life.rules.effects)
-            if asked.id in self._open_ids:
-                raise request.Refused(409, "Req-Id: open already")
+            asked = self._asked(exchange.head)  # once more: the id may have come meanwhile
             request.check_body(exchange.body)
         except request.Refused as refused:
             exchange.reply(_error(refused.status, refused.reason))
@@ -199,18 +190,7 @@
             after = b"%d.%03d" % divmod(max(answer.retry_after_us, 0) // 1_000, 1_000)
             exchange.reply(_error(503, answer.code, [(b"retry-after", after)] if answer.retry_after_us else []))
         else:
-            exchange.reply(_error(502 if answer.code == "may_have_run" else 504, answer.code))
-
-
-def read_config(read_file: Callable[[str], bytes], told: dict[str, str],
-                parse: Callable[[dict[str, str], bytes], NodeConfig]) -> NodeConfig:
-    """The configuration as it stands now. Raises ConfigError."""
-    path = told["ROUTER_CONFIG"]
-    try:
-        data = read_file(path)
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
-    return parse(told, data)
+            exchange.reply(_error(http_of(answer, unsafe=False).status, answer.code))
 
 
 def _error(status: int, reason: str, headers: http1.Headers | None = None) -> Reply:
--- a/yardspindle/node/config.py
+++ b/yardspindle/node/config.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Annotated, Any
 
@@ -100,6 +100,16 @@
         idle_us=int(allowed.get("conn-idle-us") or 15_000_000))
 
 
+def read(read_file: Callable[[str], bytes], told: Mapping[str, str]) -> NodeConfig:
+    """The configuration as its file stands now. Raises ConfigError."""
+    path = told["ROUTER_CONFIG"]
+    try:
+        data = read_file(path)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    return parse(told, data)
+
+
 def _address(name: str, text: str) -> tuple[str, int]:
     try:
         host, port = split_address(text)
--- a/yardspindle/node/discovery.py
+++ b/yardspindle/node/discovery.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from yardspindle.core import patience
 from yardspindle.core.host_list import HostList, ListAnswer
 from yardspindle.engine.http_client import ConnectError, ExchangeBroken, HttpClient
 from yardspindle.node import log
@@ -18,10 +19,7 @@
 from yardspindle.runtime.world import World
 
 PATH = b"/discovery/hosts"
-WAIT_MS = 5_000  # of a watch: an agent that has died without a word is found out this much later at most
-SILENT_US = 500_000  # past the wait
 CONNECT_US = 500_000
-PAUSE_US = 100_000  # before a failed call is tried again
 LIMITS = http1.Limits(line=8_192, head=16_384, headers=64, body=4_194_304)
 
 
@@ -61,7 +59,7 @@
                     if not failures:
                         log.line("discovery is not heard", fault=f"{type(error).__name__}: {error}")
                     whole, failures = True, failures + 1
-                    self._world.sleep_until(self._world.now_us() + PAUSE_US)
+                    self._world.sleep_until(self._world.now_us() + patience.AGENT_PAUSE_US)
                     continue
                 if changed:
                     self._news()
@@ -74,8 +72,9 @@
         """One call; whether the list changed. Raises ValueError for what cannot be read."""
         target, wait_us = PATH, 0
         if not whole:
-            target, wait_us = PATH + b"?index=%d&wait=%d" % (self._hosts.revision, WAIT_MS), WAIT_MS * 1_000
-        with self._world.deadline(self._world.now_us() + wait_us + SILENT_US):
+            wait_us = patience.WATCH_US
+            target = PATH + b"?index=%d&wait=%d" % (self._hosts.revision, wait_us // 1_000)
+        with self._world.deadline(self._world.now_us() + wait_us + patience.SILENT_AGENT_US):
             response = client.request(*address, b"GET", target, [])
             try:
                 body = response.read_all()
--- a/yardspindle/node/executor.py
+++ b/yardspindle/node/executor.py
@@ -13,6 +13,7 @@
 from yardspindle import interface as i
 from yardspindle.api.serving import Exchange
 from yardspindle.core import commands as c
+from yardspindle.core import patience
 from yardspindle.core.directory import Server
 from yardspindle.core.edge_core import EdgeCore
 from yardspindle.core.planning import PlanningSession, Reply
@@ -25,11 +26,6 @@
 from yardspindle.runtime.world import StreamError, World
 
 EPOCH = 1  # the one start of the one policy in this process
-PLACE_US = 1_000_000  # a writer that does not know answers after 0.3 s
-FREE_US = 70_000  # for one host to hear of a release; the rule leaves time for a few
-FREE_FIRST_US = 50_000  # how long a new attempt waits for a release that is under way
-SILENT_STREAM_US = 4_500_000  # a stream that brings nothing for so long is ended; clients wait 5 s at most
-OPENING_US = 500_000  # from a stream's head to the end of its first event, which come together
 OPENING_MOST = 262_144  # bytes before the end of a stream's first event
 
 
@@ -185,7 +181,7 @@
                                         signal.set if signal is not None else _nothing)
                 if isinstance(said, Ended):
                     return said
-                opening_limit = self._world.deadline(self._world.now_us() + OPENING_US)
+                opening_limit = self._world.deadline(self._world.now_us() + patience.OPENING_US)
                 try:
                     with opening_limit:
                         opening = self._opening(said)
@@ -250,13 +246,13 @@
         cancel: list[Callable[[], None]] = []
 
         def check() -> None:
-            due = run.heard_us + SILENT_STREAM_US
+            due = run.heard_us + patience.SILENT_STREAM_US
             if self._world.now_us() >= due:
                 stream.abort()
             else:
                 cancel[0] = self._world.call_at(due, check)
 
-        cancel.append(self._world.call_at(run.heard_us + SILENT_STREAM_US, check))
+        cancel.append(self._world.call_at(run.heard_us + patience.SILENT_STREAM_US, check))
         return lambda: cancel[0]()
 
     # --- places and releases
@@ -265,7 +261,7 @@
         signal = run.sent.get(command.read_attempt)
         held: bool | None = None
         try:
-            with self._world.deadline(self._world.now_us() + PLACE_US):
+            with self._world.deadline(self._world.now_us() + patience.PLACE_US):
                 if signal is not None:
                     signal.wait()
                 out = command.read_attempt in run.attempts and run.answer is None and not run.exchange.gone
@@ -282,7 +278,7 @@
         try:
             if self._core.rooms.owed.get(room.request) is not room:
                 return  # a newer attempt was sent meanwhile, whose own end lets go of everything
-            with self._world.deadline(self._world.now_us() + FREE_US):
+            with self._world.deadline(self._world.now_us() + patience.FREE_US):
                 heard = self._hosts.release(server, self.ids[room.request])
         except DeadlineExceeded:
             pass
@@ -297,7 +293,7 @@
         task = self._freeing.get(request)
         if task is None:
             return
-        limit = self._world.deadline(self._world.now_us() + FREE_FIRST_US)
+        limit = self._world.deadline(self._world.now_us() + patience.FREE_FIRST_US)
         try:
             with limit:
                 task.join()
--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -227,14 +227,14 @@
         # Machines between a router and its servers swallow requests without a word: waited for to the end,
         # each is lost. A server that hangs or jams answers none that came later, and is not meant here.
         seq, server = next(iter(r.out.items()))
-        sent = server.out.get((r.ask.request, seq), self.now)
-        if self.now - sent <= LATE_AIM_PART * r.aim_us + 2 * self._own(r):
-            return False
-        if server.role is i.Role.READ:  # its tokens need not wait there: they no longer keep others away
-            server.tokens, r.new = server.tokens - r.new, 0.0
+        sent = server.out[(r.ask.request, seq)]
         may = server.role is i.Role.READ or r.cls.effect is i.Effect.SAFE
         return self.set.cancel and may and server.answered_us > sent
 
+    def _overdue(self, r: Open) -> bool:  # its attempt, without an answer yet
+        sent = [s.out.get((r.ask.request, seq), self.now) for seq, s in r.out.items()]
+        return bool(sent) and self.now - sent[0] > LATE_AIM_PART * r.aim_us + 2 * self._own(r)
+
     def _longer(self, late_us: float) -> float:  # for how long to keep off what was late, or did not answer
         # When many routers each try a jammed reader or link again once its lateness is worked off, they feed
         # the jam for good: its queue is work whose clients left. A read of each other longer lets it clear.
@@ -523,8 +523,12 @@
 
     def _sweep(self) -> None:
         self.sweep_set = False
-        for r in [r for r in self.open.values() if r.out and self._lost(r)]:
-            self._again(r)
+        for r in [r for r in self.open.values() if self._overdue(r)]:
+            for server in (s for s in r.out.values() if s.role is i.Role.READ):
+                # Its tokens hardly wait there still: counted on, one lost read kept all others away.
+                server.tokens, r.new = server.tokens - r.new, 0.0
+            if self._lost(r):
+                self._again(r)
         waiting = [r for r in self.open.values() if not r.out]
         for r in sorted(waiting, key=lambda r: -r.cls.worth):  # the scarce room to the most worth
             if self.now >= r.ask.expires_us - 2 * SWEEP_US:
