--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import random
 import signal
+import socket
 import threading
 
 import pytest
@@ -287,7 +289,12 @@
     w.run("main", main)
 
 
-def test_a_signal_sets_stop() -> None:
+def test_a_signal_sets_stop_where_there_are_no_unix_sockets(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Every dispatcher of a fleet exited at its start: the far end of a Unix socket had no address."""
+    def no_unix(*_: object) -> None:
+        raise OSError(errno.EAFNOSUPPORT, "no Unix sockets")
+
+    monkeypatch.setattr(socket, "socketpair", no_unix)
     w = world()
 
     def main() -> None:
--- a/yardspindle/runtime/real.py
+++ b/yardspindle/runtime/real.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import os
 import random
@@ -349,23 +350,26 @@
         self.on_signals({signals.SIGINT: stop, signals.SIGTERM: stop})
 
     def on_signals(self, handlers: Mapping[signals.Signals, Callable[[], None]]) -> None:
-        """Call back in a task of its own at each signal; called once, from the main thread, inside `run`."""
-        reader, writer = socket.socketpair()
-        writer.setblocking(False)
-        signals.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
+        """Call back in a task of its own at each signal; called once, from the main thread, inside `run`.
+
+        Woken by a pipe, not by a pair of sockets: that would be one of Unix sockets, which not every place has.
+        """
+        reader, writer = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
+        signals.set_wakeup_fd(writer, warn_on_full_buffer=False)
         for number in handlers:
             signals.signal(number, lambda *_: None)
-        stream = RealStream(self, reader)
 
         def watch() -> None:
             try:
                 while True:
-                    for number in stream.read(16):
-                        if number in handlers:
-                            handlers[signals.Signals(number)]()
+                    self.poller.block(self.scheduler, reader, READ_MASK)
+                    with contextlib.suppress(BlockingIOError):
+                        for number in os.read(reader, 64):
+                            if number in handlers:
+                                handlers[signals.Signals(number)]()
             finally:
                 signals.set_wakeup_fd(-1)
-                stream.close()
-                writer.close()
+                os.close(reader)
+                os.close(writer)
 
         self.spawn("signals", watch)
