Let go of a place that is granted after its read was turned away

At fault: Lifecycle.place_answered, which passed over a late 'held' or 'not known' while its request waited on. Ruled out: hosts that could not be told (the word was heard in 0.2 ms). Change: such a place counts as held; it is let go of at once, or with the state where one waits for a writer. Two tests fail without the change; a third says that a state is not taken from under its request.

--- a/tests/test_node_cores.py
+++ b/tests/test_node_cores.py
@@ -101,6 +101,27 @@
     assert kinds(core.place_answered(7, 1, 1, server(WRITER, i.Role.WRITE), True)) == ["Free"]
 
 
+@pytest.mark.parametrize("word", [True, None])
+def test_a_place_granted_after_its_read_was_turned_away_is_let_go_of(word: bool | None) -> None:
+    """The request waited on without it: the word that let go had come before the asking, and it stayed held."""
+    core = started()
+    reading(core)
+    (free,) = of(c.Free, core.attempt_ended(5, 1, 0, i.Status.FULL))
+    core.room_settled(6, free.room, free.server.number, True)
+    assert kinds(core.place_answered(7, 1, 1, server(WRITER, i.Role.WRITE), word)) == ["Free"]
+
+
+def test_a_place_granted_late_takes_no_state_from_under_its_request() -> None:
+    core = started()
+    reading(core)
+    core.act(1, 1, i.Ahead(1, WRITER2))
+    core.attempt_ended(5, 1, 0, i.Status.READ)
+    assert kinds(core.place_answered(7, 1, 1, server(WRITER, i.Role.WRITE), True)) == []
+    assert kinds(core.act(8, 1, i.Send(1, WRITER2))) == ["Write"]
+    assert kinds(core.attempt_ended(9, 1, 1, i.Status.ERROR)) == []  # the state may be read again
+    assert "Free" in kinds(core.act(9, 1, i.Refuse(1, 0)))
+
+
 def test_what_waits_too_long_for_a_writer_is_let_go_of_in_time() -> None:
     core = started()
     reading(core)
--- a/yardspindle/core/lifecycle.py
+++ b/yardspindle/core/lifecycle.py
@@ -323,6 +323,10 @@
                 self._commands.append(c.ReleasePlace(request, number, server))
             elif held is not False and r is None:
                 self._commands.append(c.ReleaseAll(request, False))
+            elif held is not False and r is not None:  # the word that let go may have come before the asking
+                r.held = True
+                if r.state_at is None:  # else it is let go of with the state, or taken by the write
+                    self._release(r)
             return self._take()
         if held is None and self.rules.release_whole:
             return self._take()  # it may be held: a write there will take it, and the end lets go of it
