Let go of what a lost read left, also when the next read of its request never ran

The policy sends the next read in the same moment, so the word was never said. Change: what was owed goes over to the newer attempt (Lifecycle.still_held), with the word that is said twice.

--- a/yardspindle/core/edge_core.py
+++ b/yardspindle/core/edge_core.py
@@ -120,7 +120,8 @@
                 case c.ReleaseAll(request, again):
                     self.rooms.owe(now_us, request, again)
                 case c.Read() | c.Write():
-                    self.rooms.in_use(command.request)
+                    if (room := self.rooms.in_use(command.request)) is not None:
+                        self.life.still_held(command.request, room.again)
                     out.append(command)
                 case _:
                     out.append(command)
--- a/yardspindle/core/lifecycle.py
+++ b/yardspindle/core/lifecycle.py
@@ -325,7 +325,7 @@
                 self._commands.append(c.ReleaseAll(request, False))
             elif held is not False and r is not None:  # the word that let go may have come before the asking
                 r.held = True
-                if r.state_at is None:  # else it is let go of with the state, or taken by the write
+                if r.out is None and r.state_at is None:  # else it is let go of with what the attempt leaves
                     self._release(r)
             return self._take()
         if held is None and self.rules.release_whole:
@@ -367,7 +367,7 @@
         if status is i.Status.READ:
             r.state, r.state_at, r.state_attempt, r.held = state, out.server, number, True
         elif out.server.role is i.Role.READ and self.rules.release_whole:
-            r.unsure = status not in PROVES_NOT_RUN
+            r.unsure = r.unsure or status not in PROVES_NOT_RUN
             r.held = r.held or r.unsure
             self._release(r)
         elif out.server.role is i.Role.READ:  # it may still be reading, or hold a state that we never heard of
@@ -386,6 +386,12 @@
         self._settle(now_us, r)
         return self._take()
 
+    def still_held(self, request: int, unsure: bool) -> None:
+        """A newer attempt came before the word that was to let go: its own end lets go, also if it never ran."""
+        r = self.open.get(request)
+        if r is not None:
+            r.held, r.unsure = True, r.unsure or unsure
+
     # --- time
 
     def tick(self, now_us: int) -> list[c.Command]:
--- a/yardspindle/core/rooms.py
+++ b/yardspindle/core/rooms.py
@@ -77,9 +77,9 @@
         else:
             known.due_us, known.again = now_us, known.again or again
 
-    def in_use(self, request: int) -> None:
-        """A newer attempt is sent."""
-        self.owed.pop(request, None)
+    def in_use(self, request: int) -> Room | None:
+        """A newer attempt is sent; what was owed is left to its end."""
+        return self.owed.pop(request, None)
 
     def take_due(self, now_us: int, servers: Mapping[int, Server]) -> list[tuple[Room, Server]]:
         """What to say now, and to whom; each is answered for with `settled`."""
