Say at the start that a descriptor limit is too small to serve; number hosts in constant time

limits.sockets under 16 is refused with file, field and reason: of its own a dispatcher has 7, and one request wants its client, its host and a release. A new host's number looked through the numbers of all others; they are kept as a set. Test: one of 1,024 dispatchers starts with 1,000 hosts it knows and takes 500 odd and 300 leaving entries in one change, under 16 MB; no list is emptied.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -413,6 +413,7 @@
     (b"{", "no JSON"), (b"{}", "settings"), (b'{"settings":{}}', "settings"), (b'{"settings":3}', "settings"),
     (json.dumps({"settings": SETTINGS, "listen": "x"}).encode(), "listen"),
     (json.dumps({"settings": SETTINGS, "limits": {"sockets": "many"}}).encode(), "limits.sockets"),
+    (json.dumps({"settings": SETTINGS, "limits": {"sockets": 15}}).encode(), "limits.sockets"),
     (json.dumps({"settings": {**SETTINGS, "me": 5}}).encode(), "me")])
 def test_a_bad_configuration_is_one_clear_line(data: bytes, named: str) -> None:
     with pytest.raises(ConfigError) as caught:
--- a/tests/test_node_fleet.py
+++ b/tests/test_node_fleet.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import json
+import tracemalloc
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+
 from tests.platform_standin import SETTINGS, TOLD, Host, Platform, answer, request
+from yardspindle.core.host_list import ListAnswer
 from yardspindle.node.app import Node
 from yardspindle.node.config import parse
 from yardspindle.runtime.scheduler import Task
@@ -49,6 +53,30 @@
     assert sim.crashes == []
 
 
+def test_a_dispatcher_of_a_thousand_starts_with_a_thousand_hosts_and_takes_hundreds_of_changes() -> None:
+    def member(at: int, size: float = 1.0, phase: str = "Ready") -> dict[str, Any]:
+        return {"id": f"s-{at}", "host_port": f"10.5.{at // 250}.{at % 250}:9000", "locality": "ab"[at % 2],
+                "flavor": "writes" if at % 3 == 0 else "reads", "cell": at // 6, "size": size, "phase": phase}
+
+    def main(sim: Simulation) -> None:
+        known = {"revision": 1, "complete": True, "members": [member(at) for at in range(1_000)]}
+        told = json.dumps({"known": known, "settings": {**SETTINGS, "instances": 1_024}}).encode()
+        tracemalloc.start()
+        node = Node(sim.program("node"), parse(TOLD, told))
+        node.world.spawn("start", node.start).join()  # nobody answers at discovery's address
+        odd = [member(at, size=0.0) for at in range(300)] + [{"id": f"odd {at}"} for at in range(200)]
+        changes = [*odd, *(member(at, phase="Gone") for at in range(300, 600))]
+        assert node.hosts.take(msgspec.convert({"revision": 2, "complete": False, "members": changes}, ListAnswer))
+        node._news()
+        _, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert len(node.hosts) == 900 and len(node.core.life.directory.servers) >= 700
+        assert peak < 16 << 20
+        assert sum(not server.gone for server in node.policy.servers.values()) == 700
+
+    play(main)
+
+
 def test_a_text_is_read_at_its_home_by_dispatchers_that_have_seen_few_requests() -> None:
     def main(sim: Simulation) -> None:
         platform, _ = fleet(sim)
--- a/yardspindle/core/host_list.py
+++ b/yardspindle/core/host_list.py
@@ -50,6 +50,7 @@
         self._roles = roles
         self._members: dict[str, Member] = {}
         self._numbers: dict[str, int] = {}
+        self._taken: set[int] = {0}
         self.revision = 0
         self.stale = True  # nothing but what was known at the start
 
@@ -60,13 +61,13 @@
     def number(self, host: str) -> int:
         """A host's number: the same at every dispatcher unless two ids collide here."""
         if host not in self._numbers:
-            taken = set(self._numbers.values())
             number, salt = 0, 0
-            while not number or number in taken:
+            while number in self._taken:
                 text = host if not salt else f"{host} {salt}"
                 number = int.from_bytes(blake2b(text.encode(), digest_size=NUMBER_BYTES).digest())
                 salt += 1
             self._numbers[host] = number
+            self._taken.add(number)
         return self._numbers[host]
 
     def known(self, answer: ListAnswer) -> None:
@@ -88,7 +89,7 @@
         first, self.stale, self.revision = self.stale, False, answer.revision
         self._members = after
         for host in before.keys() - after.keys():
-            self._numbers.pop(host, None)
+            self._taken.discard(self._numbers.pop(host, 0) or -1)
         return first or after != before
 
     def members(self, offset_us: int = 0) -> i.Members:
--- a/yardspindle/node/config.py
+++ b/yardspindle/node/config.py
@@ -17,6 +17,7 @@
 
 VARIABLES = ("ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG")
 ADDRESS = r"^([0-9]{1,3}\.){3}[0-9]{1,3}:[0-9]{1,5}$"
+SOCKETS_LEAST = 16  # of its own it has 7; under this not one request has its client, its host and a release
 Address = Annotated[str, Meta(pattern=ADDRESS)]
 
 
@@ -25,7 +26,7 @@
 
     cores: float = 1.0
     memory_mb: Annotated[int, Meta(gt=0)] = 2048
-    sockets: Annotated[int, Meta(gt=0)] = 1024
+    sockets: Annotated[int, Meta(ge=SOCKETS_LEAST)] = 1024
 
 
 class _File(Struct, frozen=True):
