Try a read in another zone first after a connection to its reader failed

Cause: Policy._reader walks the key's order host by host; readers of the own zone come first, a lost zone has no other sign than one refusal a host, and each dispatcher meets each host for itself. Harmless with ten hosts. Ruled out: a wrong list (the loss is told 4 s later), our descriptors (67 of 992). Change: zones in which this request's read could not be connected come last for its next reads; resets while connecting do not count. Nothing outlives the request. May do harm where a zone's single dead host sends a read across zones once.

--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from tests.ledger import settings
@@ -281,6 +283,19 @@
     assert len(homes) == 1
 
 
+def test_after_a_failed_connection_a_read_is_tried_in_another_zone_first() -> None:
+    """A zone was lost: six refusals in as many milliseconds used up the request's attempts there."""
+    for at in range(12):
+        router = Router("r" * 12 + "w", cross_zone_price=1.0)
+        zones = {n: "ab"[n % 2] for n in range(1, 14)}
+        router.feed(i.Members(i.ListKind.COMPLETE, 2, tuple(replace(e, zone=zones[e.server]) for e in router.entries)))
+        (first,) = sends(router.ask(prefix=f"p{at}"))
+        (second,) = sends(router.end(1, 0, first, i.Status.CONNECT_FAILED))
+        assert zones[second] != zones[first]
+        (third,) = sends(router.end(1, 1, second, i.Status.CONNECT_FAILED))
+        assert third not in (first, second)
+
+
 def test_full_for_one_tenant_shuts_the_server_for_that_one_alone() -> None:
     """Throttled servers answered full to one tenant, slowly; others were kept off them too."""
     router = Router("rw")
--- a/yardspindle/policy.py
+++ b/yardspindle/policy.py
@@ -77,6 +77,7 @@
     pinned_us: int = 0  # since when a state or place is held with no attempt out; 0 when none
     ran: bool = False  # an attempt at a writer may have run
     avoid: set[int] = field(default_factory=set)
+    unreached: set[str] = field(default_factory=set)  # zones in which a reader could not be connected to
     given_up: set[int] = field(default_factory=set)  # attempts called off; their outcomes are still to come
     asked: set[int] = field(default_factory=set)  # writers that had no place for it
 
@@ -288,7 +289,9 @@
         order, wide = self._order(r.key), self._width(r.key)
         if wide > 1:  # a session keeps to its reader among them, where its earlier turns are kept
             order = sorted(order[:wide], key=lambda s: self._rank(r.ask.session or "", s)) + order[wide:]
-        order = [s for s in order if self._usable(s, r)]
+        # Zones are lost whole, and each router finds out host by host: six refusals in as many milliseconds
+        # used up a request's attempts in a zone that was gone. Its next read is tried in another zone first.
+        order = sorted((s for s in order if self._usable(s, r)), key=lambda s: s.entry.zone in r.unreached)
         # Texts read ever farther from home make all forget all, and a session's later turn leaves most behind
         # there, however short its shared text. What shares none may go anywhere, out of the others' way.
         bound = AIM_PART_READER * r.aim_us * self.read_tokens / max(self.usual, 1.0)
@@ -467,6 +470,8 @@
                 r.pinned_us = self.now
                 return self._next(r)
             r.avoid.add(event.server)
+            if status is i.Status.CONNECT_FAILED and not event.stale:
+                r.unreached.add(server.entry.zone)
             self._drop_held(r)
             return self._start(r)
         if status not in (i.Status.CONNECT_FAILED, i.Status.FULL, i.Status.MOOT):  # it may have run
