--- a/yardspindle/core/host_list.py
+++ b/yardspindle/core/host_list.py
@@ -89,7 +89,8 @@
         first, self.stale, self.revision = self.stale, False, answer.revision
         self._members = after
         for host in before.keys() - after.keys():
-            self._taken.discard(self._numbers.pop(host, 0) or -1)
+            if host in self._numbers:
+                self._taken.discard(self._numbers.pop(host))
         return first or after != before
 
     def members(self, offset_us: int = 0) -> i.Members:
--- a/yardspindle/core/shares.py
+++ b/yardspindle/core/shares.py
@@ -7,6 +7,7 @@
 CLIENTS_PART = 0.55  # for requests clients hold at most a third; the rest is room to refuse in, and for the idle
 KEPT_PART = 1 / 64  # to each host: a dozen hosts keep a fifth at most
 KEPT_LEAST = 2
+SOCKETS_LEAST = 16  # a dispatcher has 7 of its own; the rest is for a few clients, their hosts and a release
 
 
 @dataclass(frozen=True, slots=True)
--- a/yardspindle/node/config.py
+++ b/yardspindle/node/config.py
@@ -13,11 +13,11 @@
 from yardspindle.core.config import ConfigError, split_address
 from yardspindle.core.host_list import ListAnswer
 from yardspindle.core.lifecycle import EdgeRules
+from yardspindle.core.shares import SOCKETS_LEAST
 from yardspindle.settings_map import settings
 
 VARIABLES = ("ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG")
 ADDRESS = r"^([0-9]{1,3}\.){3}[0-9]{1,3}:[0-9]{1,5}$"
-SOCKETS_LEAST = 16  # of its own it has 7; under this not one request has its client, its host and a release
 Address = Annotated[str, Meta(pattern=ADDRESS)]
 
 
