--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -20,12 +20,13 @@
     texts = [(ROOT / file).read_text().splitlines() for file in files]
     assert sum(1 for lines in texts for line in lines if line.strip()) <= 610
     assert max(len(line) for lines in texts for line in lines) <= 110
+    assert {ROOT / file for file in files} == set((ROOT / "yardspindle/policy").glob("*.py"))
     assert "yardspindle/interface.py" in texts[0][0]
 
 
 def test_on_call_names_the_log_lines_that_exist() -> None:
     page = (ROOT / "docs/on-call.md").read_text()
-    code = (ROOT / "yardspindle/policy.py").read_text()
+    code = "\n".join(file.read_text() for file in (ROOT / "yardspindle/policy").glob("*.py"))
     assert 'f"set aside {server.entry.server}: {why}"' in code and 'f"giving up requests: {why}"' in code
     statuses = (i.Status.CONNECT_FAILED.value, i.Status.RESET.value)
     given_up = set(re.findall(r'self\._end\(r, "(\w+)"\)', code))
--- /dev/null
+++ b/yardspindle/policy/state.py
@@ -0,0 +1,92 @@
+"""The state of one router's decisions: settings, servers, open requests. Types: yardspindle/interface.py."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from yardspindle import interface as i
+
+SWEEP_US = 20_000  # how often waiting requests and silent servers are looked at; far under any release time
+TRIAL_US = 250_000  # a suspect's first pause; doubled for each further failure, as its cause may last
+LATE_AIM_PART = 0.4  # part of the aim that others' reads may take before ours; past it at all, it waits
+KEY_SPAN_US = 30_000_000  # how long a key is counted: a few seconds show a router little
+KEYS_MOST = 10_000  # keys counted and ordered: memory has to end somewhere
+LONG_AGO_US = -(1 << 60)  # before any time of the clock
+
+
+@dataclass(slots=True)
+class Server:
+    """What this router knows of a server, from the list and from its own attempts."""
+
+    entry: i.Entry
+    role: i.Role
+    memory: float
+    since_us: int  # when it last started, as listed or as its answer after failed connections shows
+    gone: bool = False
+    gone_us: int = 0  # since when
+    out: dict[tuple[int, int], int] = field(default_factory=dict)  # attempts without an answer yet: sent when
+    tokens: float = 0.0  # own prompt tokens waiting at the reader
+    streams: int = 0  # own answers and places at the writer
+    strikes: int = 0  # failed connections since it last answered
+    struck_us: int = 0  # when the first of them was seen
+    refused: int = 0  # those of them that were never made
+    shut_until: int = 0
+    full: dict[str | None, tuple[int, int]] = field(default_factory=dict)  # by tenant: shut until, times full
+    kept: dict[str, float] = field(default_factory=dict)  # texts it has read for us: tokens
+    late_us: float = 0.0  # how long a read there last took beyond its own reading, seen when
+    late_at: int = 0
+    answered_us: int = LONG_AGO_US  # when the latest sent attempt that it has answered was sent
+
+
+@dataclass(slots=True)
+class Open:
+    """The one state of a request."""
+
+    ask: i.Request
+    cls: i.RequestClass
+    aim_us: float
+    key: str  # by which its reader is chosen
+    draw: float  # from 0 to 1: which part of the requests it belongs to
+    new: float = 1.0  # tokens that its reader must read, by what it has read for us before
+    backlog: float = 0.0  # our tokens at the reader when it was sent there
+    waits_us: int = 0  # since when it waits
+    attempts: int = 0
+    out: dict[int, Server] = field(default_factory=dict)
+    reader: Server | None = None  # holds the state, or is reading it
+    place: Server | None = None  # writer where a place is asked or held
+    pinned_us: int = 0  # since when a state or place is held with no attempt out; 0 when none
+    ran: bool = False  # an attempt at a writer may have run
+    avoid: set[int] = field(default_factory=set)
+    unreached: set[str] = field(default_factory=set)  # zones in which a reader could not be connected to
+    given_up: set[int] = field(default_factory=set)  # attempts called off; their outcomes are still to come
+    asked: set[int] = field(default_factory=set)  # writers that had no place for it
+
+
+class State:
+    """What all decisions rest on, and the actions of the event at hand."""
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        """Start with nothing but the settings."""
+        self.set, self.now, self.random = settings, 0, random.Random(seed)
+        self.kinds = {kind.name: kind for kind in settings.kinds}
+        self.classes = {cls.name: cls for cls in settings.classes}
+        self.servers: dict[int, Server] = {}
+        self.open: dict[int, Open] = {}
+        self.orders: dict[str, list[Server]] = {}  # readers in a key's order; void when the list changes
+        self.pull: dict[int, float] = {}  # how readily a cell's readers draw keys
+        self.spare: list[float] = []  # what part of the writing each cell has to spare
+        self.cells: dict[int, tuple[float, float]] = {}  # a cell's part of the reads and of the writing
+        self.links: dict[int, tuple[float, int]] = {}  # how long a state last took out of a cell, seen when
+        self.keys: dict[str, float] = {}  # requests of a key; in all; since when
+        self.keys_sum, self.keys_us = 0.0, 0
+        self.usual = 0.0  # running mean time of a read
+        self.best_rate = 0.0  # tokens a microsecond that a reader read when nothing was in its way
+        self.own_us = 0.0  # running mean time of a read with nothing in its way
+        self.read_tokens = 0.0  # running mean of our tokens ahead of a read and its own
+        self.least_aim = min(cls.aim_us for cls in settings.classes)
+        self.log_us = 0
+        self.refused_us = LONG_AGO_US  # when a writer last had no place for us
+        self.held = 0.0  # own tokens that take up writers' memory
+        self.sweep_set = False
+        self.acts: list[i.Action] = []
