Add the store that processes share: etcd's JSON gateway, or a file on one machine

Nothing is shared between processes so far, so nobody can act for the fleet. One interface (reads at a revision, transactions, leases, watches that notice compaction) with two stores behind it: etcd v3 by its published JSON gateway, over the HTTP client that is there, and SQLite for one machine.

A write whose answer is lost is unknown, never failed; a store that is behind what it had told is refused. 23 tests: one contract on all three, drawn transactions answered alike by all three, lost and late answers, no leader, a dead endpoint, a restored backup, a foreign file left untouched, a lock held by another process while what else runs goes on.

--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,400 @@
+"""One contract for every store: the model by itself, the gateway's client against the stand-in, and the file."""
+
+from __future__ import annotations
+
+import sqlite3
+import tempfile
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yardspindle.core.fleet.kv import (
+    BadRequest,
+    Changes,
+    Compacted,
+    Compare,
+    Delete,
+    Get,
+    Op,
+    Put,
+    Rows,
+    Txn,
+    TxnAnswer,
+    prefix_end,
+)
+from yardspindle.core.fleet.kv_model import Model
+from yardspindle.fleet.store.embedded import EmbeddedStore
+from yardspindle.fleet.store.gateway import Gateway
+from yardspindle.fleet.store.interface import Granted, Kept, NotDone, Store, StoreError, Unknown, WatchBroken, WentBack
+from yardspindle.lab.etcd import EtcdStandIn
+from yardspindle.runtime.real import RealWorld
+from yardspindle.runtime.scheduler import DeadlineExceeded
+from yardspindle.runtime.world import World
+
+S = 1_000_000
+
+
+class ModelStore:
+    """The model as a store, for the contract alone."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.model = world, Model()
+
+    def _live(self) -> Model:
+        self.model.expire(self.world.machine_us())
+        return self.model
+
+    def range(self, key: bytes, end: bytes = b"", revision: int = 0) -> Rows:
+        return self._live().range(key, end, revision)
+
+    def txn(self, txn: Txn) -> TxnAnswer:
+        try:
+            return self._live().txn(txn)
+        except BadRequest as error:
+            raise NotDone(f"{error.code}: {error}") from None
+
+    def grant(self, ttl_us: int) -> Granted:
+        lease = self._live().grant(self.world.machine_us(), -(-ttl_us // S))
+        return Granted(lease, self.model.leases[lease].ttl_us)
+
+    def keep_alive(self, lease: int) -> Kept:
+        return Kept(self._live().keep_alive(self.world.machine_us(), lease) * S, self.model.revision)
+
+    def revoke(self, lease: int) -> None:
+        if lease in self._live().leases:
+            self.model.revoke(lease)
+
+    def time_left_us(self, lease: int) -> int:
+        left = self._live().time_left(self.world.machine_us(), lease)
+        return left * S if left > 0 else left
+
+    def watch(self, key: bytes, end: bytes, revision: int) -> ModelWatch:
+        return ModelWatch(self, key, end, revision)
+
+    def compact(self, revision: int) -> None:
+        self.model.compact(revision)
+
+
+class ModelWatch:
+    def __init__(self, store: ModelStore, key: bytes, end: bytes, revision: int) -> None:
+        self.store, self.key, self.end, self.at = store, key, end, revision
+
+    def next(self) -> Changes:
+        while True:
+            changes = self.store._live().since(self.key, self.end, self.at)
+            if changes.revision >= self.at:
+                self.at = changes.revision + 1
+                return changes
+            self.store.world.sleep_until(self.store.world.now_us() + 2_000)
+
+    def close(self) -> None:
+        pass
+
+
+KINDS = ("model", "gateway", "file")
+
+
+@pytest.fixture(params=KINDS)
+def kind(request: pytest.FixtureRequest) -> Iterator[str]:
+    yield request.param
+
+
+def make(world: RealWorld, kind: str, path: Path) -> Store:
+    if kind == "model":
+        return ModelStore(world)
+    if kind == "file":
+        return EmbeddedStore(world, str(path / "store.db"), S)
+    stand_in = EtcdStandIn(world)
+    return Gateway(world, [stand_in.start("127.0.0.1", 0)], S)
+
+
+def run(kind: str, path: Path, test: Callable[[RealWorld, Store], None]) -> None:
+    world = RealWorld(seed=1)
+    world.run("test", lambda: test(world, make(world, kind, path)))
+
+
+def put(key: bytes, value: bytes, lease: int = 0) -> Txn:
+    return Txn(then=(Put(key, value, lease),))
+
+
+def test_revisions_versions_and_reads_of_the_past(kind: str, tmp_path: Path) -> None:
+    def test(world: RealWorld, store: Store) -> None:
+        first = store.txn(put(b"a", b"1")).revision
+        second = store.txn(put(b"a", b"2")).revision
+        assert second == first + 1
+        assert store.txn(Txn(then=(Get(b"a"),))).revision == second, "a transaction that only reads makes no revision"
+        row = store.range(b"a").rows[0]
+        assert (row.value, row.create, row.mod, row.version) == (b"2", first, second, 2)
+        store.txn(Txn(then=(Delete(b"a"),)))
+        again = store.txn(put(b"a", b"3")).revision
+        row = store.range(b"a").rows[0]
+        assert (row.create, row.version) == (again, 1), "made anew: its fence is a new one"
+        assert [r.value for r in store.range(b"a", revision=first).rows] == [b"1"]
+        assert store.range(b"a", revision=second + 1).rows == ()
+        with pytest.raises((NotDone, Exception), match="future"):
+            store.range(b"a", revision=again + 10)
+
+    run(kind, tmp_path, test)
+
+
+def test_a_transaction_takes_one_branch_and_sees_its_own_writes(kind: str, tmp_path: Path) -> None:
+    def test(world: RealWorld, store: Store) -> None:
+        free = Txn((Compare(b"d/1", "create", "equal", 0),), (Put(b"d/1", b"me"), Get(b"d/", prefix_end(b"d/"))),
+                   (Get(b"d/1"),))
+        taken = store.txn(free)
+        assert taken.succeeded and [row.value for row in taken.found[1]] == [b"me"]
+        late = store.txn(free)
+        assert not late.succeeded and late.found[0][0].create == taken.revision and late.revision == taken.revision
+        fence = late.found[0][0].create
+        assert store.txn(Txn((Compare(b"d/1", "create", "equal", fence),), (Put(b"d/2", b"x"),))).succeeded
+        assert not store.txn(Txn((Compare(b"d/1", "create", "equal", fence - 1),), (Put(b"d/3", b"x"),))).succeeded
+        assert [row.key for row in store.range(b"d/", prefix_end(b"d/")).rows] == [b"d/1", b"d/2"]
+        with pytest.raises(NotDone, match="duplicate key"):
+            store.txn(Txn(then=(Put(b"d/2", b"y"), Put(b"d/2", b"z"))))
+        assert store.range(b"d/2").rows[0].value == b"x", "nothing of a refused transaction is done"
+
+    run(kind, tmp_path, test)
+
+
+def test_a_lease_ends_with_its_keys_unless_kept_alive(kind: str, tmp_path: Path) -> None:
+    def test(world: RealWorld, store: Store) -> None:
+        one, other = store.grant(S), store.grant(3 * S)
+        assert one.lease != other.lease and one.ttl_us == S
+        store.txn(put(b"m/one", b"", one.lease))
+        since = store.txn(put(b"m/other", b"", other.lease)).revision
+        assert store.keep_alive(one.lease).ttl_us == S
+        watch = store.watch(b"m/", prefix_end(b"m/"), since + 1)
+        gone: list[bytes] = []
+        with world.deadline(world.now_us() + 5 * S):
+            while not gone:
+                gone += [c.row.key for c in watch.next().changes if c.removed]
+        watch.close()
+        assert gone == [b"m/one"]
+        assert store.keep_alive(one.lease).ttl_us == 0 and store.time_left_us(one.lease) == -1
+        assert 0 < store.time_left_us(other.lease) <= 3 * S
+        store.revoke(other.lease)
+        store.revoke(other.lease)
+        assert store.range(b"m/", prefix_end(b"m/")).rows == ()
+        with pytest.raises(NotDone, match="lease not found"):
+            store.txn(put(b"m/x", b"", other.lease))
+
+    run(kind, tmp_path, test)
+
+
+def test_a_watch_leaves_nothing_out_and_says_when_history_is_gone(kind: str, tmp_path: Path) -> None:
+    def test(world: RealWorld, store: Store) -> None:
+        first = store.txn(put(b"w/1", b"a")).revision
+        store.txn(put(b"elsewhere", b""))
+        store.txn(Txn(then=(Put(b"w/2", b"b"), Delete(b"w/1"))))
+        seen: list[tuple[bytes, bool]] = []
+        watch = store.watch(b"w/", prefix_end(b"w/"), first)
+        with world.deadline(world.now_us() + 5 * S):
+            while len(seen) < 3:
+                seen += [(c.row.key, c.removed) for c in watch.next().changes]
+            assert sorted(seen) == [(b"w/1", False), (b"w/1", True), (b"w/2", False)] and seen[0] == (b"w/1", False)
+            last = store.txn(put(b"w/3", b"c")).revision
+            while (b"w/3", False) not in seen:
+                seen += [(c.row.key, c.removed) for c in watch.next().changes]
+        watch.close()
+        if isinstance(store, Gateway):
+            store._ask(b"/v3/kv/compaction", b'{"revision":"%d"}' % last, dict, writes=True)
+        else:
+            store.compact(last)  # type: ignore[attr-defined]
+        with pytest.raises(Compacted), world.deadline(world.now_us() + 5 * S):
+            old = store.watch(b"w/", prefix_end(b"w/"), first)
+            while not old.next().changes:  # a first empty answer says that the watch stands
+                pass
+        with pytest.raises(Compacted):
+            store.range(b"w/1", revision=first)
+        assert len(store.range(b"w/", prefix_end(b"w/")).rows) == 2
+
+    run(kind, tmp_path, test)
+
+
+KEYS = st.sampled_from([b"a", b"b", b"c", b"\xff", b"a\x00"])
+OPS: st.SearchStrategy[Op] = st.one_of(
+    st.builds(Put, KEYS, st.binary(max_size=3)), st.builds(Delete, KEYS, st.sampled_from([b"", b"c", b"\0"])),
+    st.builds(Get, KEYS, st.sampled_from([b"", b"c", b"\0"])))
+COMPARES = st.one_of(
+    st.builds(Compare, KEYS, st.sampled_from(["version", "create", "mod", "lease"]),
+              st.sampled_from(["equal", "greater", "less", "not_equal"]), st.integers(0, 12)),
+    st.builds(Compare, KEYS, st.just("value"), st.sampled_from(["equal", "not_equal"]), st.binary(max_size=3)))
+TXNS = st.builds(lambda c, t, o: Txn(tuple(c), tuple(t), tuple(o)), st.lists(COMPARES, max_size=2),
+                 st.lists(OPS, max_size=3), st.lists(OPS, max_size=3))
+
+
+@given(st.lists(TXNS, max_size=12))
+def test_all_three_answer_drawn_transactions_alike(drawn: list[Txn]) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        world = RealWorld(seed=1)
+
+        def outcome(store: Store, txn: Txn) -> Any:
+            try:
+                return store.txn(txn)
+            except NotDone as error:
+                return str(error)
+
+        def test() -> None:
+            stores = [make(world, kind, Path(folder)) for kind in KINDS]
+            for txn in drawn:
+                answers = [outcome(store, txn) for store in stores]
+                assert answers[0] == answers[1] == answers[2]
+            views = [store.range(b"\0", b"\0") for store in stores]
+            assert views[0] == views[1] == views[2]
+            for revision in range(1, views[0].revision + 1):
+                past = [store.range(b"\0", b"\0", revision).rows for store in stores]
+                assert past[0] == past[1] == past[2]
+
+        world.run("test", test)
+
+
+# --- the gateway's client when things fail
+
+def with_stand_in(test: Callable[[RealWorld, EtcdStandIn, Gateway], None], endpoints: int = 1) -> None:
+    world = RealWorld(seed=1)
+
+    def program() -> None:
+        stand_in = EtcdStandIn(world)
+        at = stand_in.start("127.0.0.1", 0)
+        dead = world.listen("127.0.0.1", 0)
+        dead.close()
+        test(world, stand_in, Gateway(world, [("127.0.0.1", dead.port), at][-endpoints:], 200_000))
+
+    world.run("test", program)
+
+
+def test_an_answer_lost_after_the_commit_is_unknown_and_can_be_read_back() -> None:
+    def test(world: RealWorld, stand_in: EtcdStandIn, store: Gateway) -> None:
+        stand_in.lose = 1
+        with pytest.raises(Unknown):
+            store.txn(put(b"a", b"mine"))
+        assert store.range(b"a").rows[0].value == b"mine"
+
+    with_stand_in(test)
+
+
+def test_no_answer_is_unknown_for_a_write_and_nothing_done_for_a_read() -> None:
+    def test(world: RealWorld, stand_in: EtcdStandIn, store: Gateway) -> None:
+        stand_in.late_us = 400_000
+        with pytest.raises(Unknown):
+            store.txn(put(b"a", b"late"))
+        with pytest.raises(NotDone):
+            store.range(b"a")
+        stand_in.late_us = 0
+        with world.deadline(world.now_us() + 5 * S):
+            while not store.range(b"a").rows:  # it was on its way all along
+                world.sleep_until(world.now_us() + 10_000)
+
+    with_stand_in(test)
+
+
+def test_without_a_leader_nothing_is_done() -> None:
+    def test(world: RealWorld, stand_in: EtcdStandIn, store: Gateway) -> None:
+        stand_in.leaderless = True
+        with pytest.raises(NotDone, match="no leader"):
+            store.txn(put(b"a", b""))
+        stand_in.leaderless = False
+        assert store.range(b"a").rows == ()
+
+    with_stand_in(test)
+
+
+def test_a_dead_endpoint_is_passed_over() -> None:
+    def test(world: RealWorld, stand_in: EtcdStandIn, store: Gateway) -> None:
+        assert store.txn(put(b"a", b"")).succeeded
+        before = store.calls
+        store.range(b"a")
+        assert store.calls == before + 1, "the endpoint that answered is asked first from then on"
+
+    with_stand_in(test, endpoints=2)
+
+
+def test_a_store_that_went_back_is_refused() -> None:
+    def test(world: RealWorld, stand_in: EtcdStandIn, store: Gateway) -> None:
+        stand_in.marked = stand_in.model.copy()
+        store.txn(put(b"a", b""))
+        stand_in.model = stand_in.marked.copy()
+        with pytest.raises(WentBack, match="stands at revision 1; it had told 2"):
+            store.range(b"a")
+        with pytest.raises(WentBack):
+            store.txn(put(b"a", b""))
+
+    with_stand_in(test)
+
+
+def test_a_watch_that_breaks_says_so() -> None:
+    def test(world: RealWorld, stand_in: EtcdStandIn, store: Gateway) -> None:
+        watch = store.watch(b"a", b"", 0)
+        watch.next()
+        stand_in._break()
+        with pytest.raises(WatchBroken), world.deadline(world.now_us() + 5 * S):
+            watch.next()
+
+    with_stand_in(test)
+
+
+# --- the file
+
+def test_a_file_that_is_not_ours_is_left_as_it_is(tmp_path: Path) -> None:
+    path = tmp_path / "store.db"
+    path.write_bytes(b"not a database at all, but somebody's notes" * 100)
+    before = path.read_bytes()
+    with pytest.raises(StoreError, match=r"store\.db: .*not a database"):
+        run("file", tmp_path, lambda world, store: None)
+    assert path.read_bytes() == before
+    path.unlink()
+    with sqlite3.connect(path) as db:
+        db.execute("CREATE TABLE orders (id)")
+    db.close()
+    before = path.read_bytes()
+    with pytest.raises(StoreError, match="none of ours"):
+        run("file", tmp_path, lambda world, store: None)
+    assert b"orders" in path.read_bytes()
+
+
+def test_a_lock_that_is_held_is_waited_for_and_then_told(tmp_path: Path) -> None:
+    def test(world: RealWorld, store: Store) -> None:
+        other = sqlite3.connect(tmp_path / "store.db", isolation_level=None)
+        other.execute("BEGIN IMMEDIATE")
+        ticks = 0
+
+        def tick() -> None:
+            nonlocal ticks
+            while True:
+                world.sleep_until(world.now_us() + 5_000)
+                ticks += 1
+
+        ticking = world.spawn("tick", tick)
+        with pytest.raises(NotDone, match="holds the lock"):
+            store.txn(put(b"a", b""))
+        assert ticks > 20, "what else runs in the program went on"
+        ticking.cancel()
+        other.execute("ROLLBACK")
+        assert store.txn(put(b"a", b"")).succeeded
+        other.close()
+
+    run("file", tmp_path, test)
+
+
+def test_leases_of_an_earlier_start_of_the_machine_have_ended(tmp_path: Path) -> None:
+    def test(world: RealWorld, store: Store) -> None:
+        assert isinstance(store, EmbeddedStore)
+        store.txn(put(b"m", b"", store.grant(60 * S).lease))
+        store._boot = "another start"
+        assert store.range(b"m").rows == ()
+
+    run("file", tmp_path, test)
+
+
+def test_the_bound_of_a_caller_is_its_own(tmp_path: Path) -> None:
+    """A deadline around a call that passes first is not taken for the store's."""
+    def test(world: RealWorld, stand_in: EtcdStandIn, store: Gateway) -> None:
+        stand_in.late_us = 150_000
+        with pytest.raises(DeadlineExceeded), world.deadline(world.now_us() + 20_000):
+            store.txn(put(b"a", b""))
+
+    with_stand_in(test)
--- /dev/null
+++ b/yardspindle/fleet/store/embedded.py
@@ -0,0 +1,325 @@
+"""The store of one machine: a SQLite file that its processes share, with the same meaning as etcd.
+
+Each row is one version of a key (its history, until compacted); the rules of transactions are those of core's
+evaluator. Leases count on the machine's own clock, which is the same for every process and cannot be stepped; after
+a restart of the machine every lease has ended. Whoever calls ends the leases that have run out, in the same
+transaction, so that no process is needed to watch over them.
+
+A file that is not ours, or of a later form, is refused and never written to.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from yardspindle.core.fleet.kv import (
+    FIRST_REVISION,
+    BadRequest,
+    Change,
+    Changes,
+    Compacted,
+    Delete,
+    KeyValue,
+    Rows,
+    Txn,
+    TxnAnswer,
+    evaluate,
+)
+from yardspindle.fleet.store.interface import Granted, Kept, NotDone, StoreError, Unknown, WentBack
+from yardspindle.runtime.world import DatabaseBusy, DatabaseError, World
+
+T = TypeVar("T")
+FORM = 1
+RETRY_US = 1_000  # after a lock that another process held: about a transaction of ours
+RETRY_MOST_US = 20_000
+LOOK_US = 20_000  # how often a watch looks: of the order of a hop's time, and a look costs some microseconds
+KEPT_REVISIONS = 10_000  # of history; past twice that it is compacted
+BOOT_ID = "/proc/sys/kernel/random/boot_id"
+COLUMNS = "key, value, made, mod, version, lease"
+TABLES = (
+    "CREATE TABLE versions (key BLOB, mod INTEGER, made INTEGER, version INTEGER, value BLOB, lease INTEGER,"
+    " removed INTEGER, PRIMARY KEY (key, mod)) WITHOUT ROWID",
+    "CREATE INDEX versions_mod ON versions (mod)",
+    "CREATE TABLE now (key BLOB PRIMARY KEY, value BLOB, made INTEGER, mod INTEGER, version INTEGER, lease INTEGER)"
+    " WITHOUT ROWID",
+    "CREATE INDEX now_lease ON now (lease) WHERE lease > 0",
+    "CREATE TABLE leases (lease INTEGER PRIMARY KEY, ttl_us INTEGER, ends_us INTEGER, boot TEXT)",
+    "CREATE TABLE about (name TEXT PRIMARY KEY, value)",
+)
+
+
+class EmbeddedStore:
+    """See Store."""
+
+    def __init__(self, world: World, path: str, call_us: int) -> None:
+        """Open the file, or make it. Raises StoreError: it cannot be read, or is not ours. `call_us` bounds a call."""
+        self._world, self._path, self._call_us = world, path, call_us
+        try:
+            self._boot = world.read_file(BOOT_ID).decode().strip()
+        except OSError:
+            self._boot = ""
+        self.seen = 0
+        self.calls = 0
+        self._refused = ""  # why this store is not used any more
+        self._db = self._patiently(lambda: world.database(path))
+        self._patiently(self._prepare)
+
+    # --- calls
+
+    def range(self, key: bytes, end: bytes = b"", revision: int = 0) -> Rows:
+        """See Store."""
+        return self._patiently(lambda: self._range(key, end, revision), reads=True)
+
+    def txn(self, txn: Txn) -> TxnAnswer:
+        """See Store."""
+        return self._write(lambda: self._txn(txn))
+
+    def grant(self, ttl_us: int) -> Granted:
+        """See Store."""
+        ttl_us = -(-ttl_us // 1_000_000) * 1_000_000
+
+        def grant() -> Granted:
+            lease = int(self._about("last lease")) + 1
+            self._db.run("UPDATE about SET value = ? WHERE name = 'last lease'", (lease,))
+            self._db.run("INSERT INTO leases VALUES (?, ?, ?, ?)",
+                         (lease, ttl_us, self._world.machine_us() + ttl_us, self._boot))
+            return Granted(lease, ttl_us)
+
+        return self._write(grant)
+
+    def keep_alive(self, lease: int) -> Kept:
+        """See Store."""
+        def keep() -> Kept:
+            rows = self._db.run("SELECT ttl_us FROM leases WHERE lease = ?", (lease,))
+            if rows:
+                self._db.run("UPDATE leases SET ends_us = ? WHERE lease = ?",
+                             (self._world.machine_us() + rows[0][0], lease))
+            return Kept(rows[0][0] if rows else 0, self._revision())
+
+        return self._write(keep)
+
+    def revoke(self, lease: int) -> None:
+        """See Store."""
+        self._write(lambda: self._revoke(lease))
+
+    def time_left_us(self, lease: int) -> int:
+        """See Store."""
+        def left() -> int:
+            rows = self._db.run("SELECT ends_us FROM leases WHERE lease = ? AND boot = ?", (lease, self._boot))
+            left_us = int(rows[0][0]) - self._world.machine_us() if rows else -1
+            return left_us if left_us > 0 else -1
+
+        return self._patiently(left, reads=True)
+
+    def watch(self, key: bytes, end: bytes, revision: int) -> EmbeddedWatch:
+        """See Store."""
+        return EmbeddedWatch(self, key, end, revision)
+
+    def close(self) -> None:
+        """Close the file."""
+        self._db.close()
+
+    # --- waiting for the lock
+
+    def _patiently(self, act: Callable[[], T], reads: bool = False) -> T:
+        """Try until the lock is free, on the scheduler; at the bound nothing was done."""
+        self.calls += 1
+        until_us, pause_us = self._world.now_us() + self._call_us, RETRY_US
+        while True:
+            try:
+                return self._read_once(act) if reads else act()
+            except DatabaseBusy:
+                if self._world.now_us() >= until_us:
+                    raise NotDone(f"{self._path}: another process holds the lock") from None
+                self._world.sleep_until(self._world.now_us() + pause_us)
+                pause_us = min(2 * pause_us, RETRY_MOST_US)
+            except DatabaseError as error:
+                raise StoreError(f"{self._path}: {error}") from None
+
+    def _read_once(self, act: Callable[[], T]) -> T:
+        """All of a read sees the store at one moment; leases that have run out are ended first."""
+        if self._ended():
+            self._write_once(lambda: None)
+        self._db.run("BEGIN")
+        try:
+            return act()
+        finally:
+            self._db.roll_back()
+
+    def _write(self, act: Callable[[], T]) -> T:
+        return self._patiently(lambda: self._write_once(act))
+
+    def _write_once(self, act: Callable[[], T]) -> T:
+        """One transaction; leases that have run out are ended in it first."""
+        self._db.begin()
+        try:
+            self._expire()
+            done = act()
+        except BadRequest as error:
+            self._db.roll_back()
+            raise NotDone(f"{error.code}: {error}") from None
+        except BaseException:
+            self._db.roll_back()
+            raise
+        try:
+            self._db.commit()
+        except DatabaseBusy:
+            self._db.roll_back()
+            raise
+        except DatabaseError as error:
+            self._db.roll_back()
+            raise Unknown(f"{self._path}: {error}") from None
+        return done
+
+    # --- inside a transaction
+
+    def _prepare(self) -> None:
+        self._db.begin()
+        try:
+            tables = {row[0] for row in self._db.run("SELECT name FROM sqlite_master WHERE type = 'table'")}
+            if tables and "about" not in tables:
+                raise StoreError(f"{self._path}: a database, but none of ours; it is left as it is")
+            if tables and int(self._about("form")) != FORM:
+                raise StoreError(f"{self._path}: of form {self._about('form')}, this version reads form {FORM}")
+            if not tables:
+                for statement in TABLES:
+                    self._db.run(statement)
+                self._db.run("INSERT INTO about VALUES ('form', ?), ('revision', ?), ('compacted', 0),"
+                             " ('last lease', 0)", (FORM, FIRST_REVISION))
+        except BaseException:
+            self._db.roll_back()
+            raise
+        self._db.commit()
+
+    def _about(self, name: str) -> Any:
+        return self._db.run("SELECT value FROM about WHERE name = ?", (name,))[0][0]
+
+    def _revision(self) -> int:
+        revision = int(self._about("revision"))
+        if revision < self.seen:  # from then on for good: catching up would only hide it
+            self._refused = f"{self._path} stands at revision {revision}; it had told {self.seen}"
+        if self._refused:
+            raise WentBack(self._refused)
+        self.seen = revision
+        return revision
+
+    def rows(self, key: bytes, end: bytes) -> list[KeyValue]:
+        """See kv.Reader."""
+        where, arguments = _range(key, end)
+        return [_row(row) for row in self._db.run(
+            f"SELECT {COLUMNS} FROM now WHERE {where} ORDER BY key", arguments)]
+
+    def has_lease(self, lease: int) -> bool:
+        """See kv.Reader."""
+        return bool(self._db.run("SELECT 1 FROM leases WHERE lease = ?", (lease,)))
+
+    def _range(self, key: bytes, end: bytes, revision: int) -> Rows:
+        now = self._revision()
+        if not revision or revision == now:
+            return Rows(now, tuple(self.rows(key, end)))
+        if revision > now:
+            raise NotDone("11: etcdserver: mvcc: required revision is a future revision")
+        if revision < int(self._about("compacted")):
+            raise Compacted(int(self._about("compacted")))
+        where, arguments = _range(key, end)
+        return Rows(now, tuple(_row(row) for row in self._db.run(
+            f"SELECT {COLUMNS} FROM versions AS v WHERE {where} AND removed = 0 AND mod ="
+            " (SELECT max(mod) FROM versions WHERE key = v.key AND mod <= ?) ORDER BY key",
+            (*arguments, revision))))
+
+    def _txn(self, txn: Txn) -> TxnAnswer:
+        answer, changes = evaluate(txn, self, self._revision())
+        self._commit(changes)
+        return answer
+
+    def _commit(self, changes: tuple[Change, ...]) -> None:
+        if not changes:
+            return
+        for change in changes:
+            row = change.row
+            self._db.run("INSERT INTO versions VALUES (?, ?, ?, ?, ?, ?, ?)",
+                         (row.key, row.mod, row.create, row.version, row.value, row.lease, int(change.removed)))
+            if change.removed:
+                self._db.run("DELETE FROM now WHERE key = ?", (row.key,))
+            else:
+                self._db.run(f"INSERT OR REPLACE INTO now ({COLUMNS}) VALUES (?, ?, ?, ?, ?, ?)",
+                             (row.key, row.value, row.create, row.mod, row.version, row.lease))
+        revision = changes[0].row.mod
+        self._db.run("UPDATE about SET value = ? WHERE name = 'revision'", (revision,))
+        if revision - int(self._about("compacted")) > 2 * KEPT_REVISIONS:
+            self._compact(revision - KEPT_REVISIONS)
+
+    def _compact(self, revision: int) -> None:
+        """Keep of each key's history what is needed to read from that revision on."""
+        self._db.run("DELETE FROM versions WHERE mod < ? AND (removed OR mod <"
+                     " (SELECT max(mod) FROM versions AS v WHERE v.key = versions.key AND v.mod <= ?))",
+                     (revision, revision))
+        self._db.run("UPDATE about SET value = ? WHERE name = 'compacted'", (revision,))
+
+    def compact(self, revision: int) -> None:
+        """Forget history before a revision."""
+        self._write(lambda: self._compact(revision))
+
+    def _ended(self) -> bool:
+        return bool(self._db.run("SELECT 1 FROM leases WHERE ends_us <= ? OR boot <> ? LIMIT 1",
+                                 (self._world.machine_us(), self._boot)))
+
+    def _expire(self) -> None:
+        for (lease,) in self._db.run("SELECT lease FROM leases WHERE ends_us <= ? OR boot <> ? ORDER BY lease",
+                                     (self._world.machine_us(), self._boot)):
+            self._revoke(lease)
+
+    def _revoke(self, lease: int) -> None:
+        keys = [row[0] for row in self._db.run("SELECT key FROM now WHERE lease = ? ORDER BY key", (lease,))]
+        if keys:
+            self._commit(evaluate(Txn(then=tuple(Delete(key) for key in keys)), self, self._revision())[1])
+        self._db.run("DELETE FROM leases WHERE lease = ?", (lease,))
+
+    def since(self, key: bytes, end: bytes, revision: int) -> Changes:
+        """The changes of a range from a revision on. Raises Compacted."""
+        def read() -> Changes:
+            now = self._revision()
+            if now < revision:
+                return Changes(now)
+            if revision <= int(self._about("compacted")):
+                raise Compacted(int(self._about("compacted")))
+            where, arguments = _range(key, end)
+            rows = self._db.run(f"SELECT {COLUMNS}, removed FROM versions WHERE {where} AND mod >= ? AND mod <= ?"
+                                " ORDER BY mod, key", (*arguments, revision, now))
+            return Changes(now, tuple(Change(_row(row[:6]), bool(row[6])) for row in rows))
+
+        return self._patiently(read, reads=True)
+
+
+class EmbeddedWatch:
+    """See Watch. It looks every so often: reading the revision costs some microseconds."""
+
+    def __init__(self, store: EmbeddedStore, key: bytes, end: bytes, revision: int) -> None:
+        """Nothing is opened."""
+        self._store, self._key, self._end = store, key, end
+        self._next = revision
+
+    def next(self) -> Changes:
+        """See Watch."""
+        world = self._store._world
+        while True:
+            changes = self._store.since(self._key, self._end, self._next)
+            if changes.revision >= self._next:
+                self._next = changes.revision + 1
+                return changes
+            world.sleep_until(world.now_us() + LOOK_US)
+
+    def close(self) -> None:
+        """See Watch."""
+
+
+def _range(key: bytes, end: bytes) -> tuple[str, tuple[bytes, ...]]:
+    if not end:
+        return "key = ?", (key,)
+    return ("key >= ?", (key,)) if end == b"\0" else ("key >= ? AND key < ?", (key, end))
+
+
+def _row(row: tuple[Any, ...]) -> KeyValue:
+    key, value, made, mod, version, lease = row
+    return KeyValue(key, value, made, mod, version, lease)
--- /dev/null
+++ b/yardspindle/fleet/store/gateway.py
@@ -0,0 +1,238 @@
+"""etcd v3 by its published JSON gateway, over the project's HTTP client: several endpoints, each call bounded.
+
+Reads are linearizable (never `serializable`), so an answer that is behind one heard before the call was made proves
+that the store went back, as after an old backup was restored; such a store is refused until this process restarts.
+A write goes to another endpoint only when the first one proves that it did nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import TypeVar
+
+import msgspec
+
+from yardspindle.core.fleet.kv import Changes, Compacted, Rows, Txn, TxnAnswer
+from yardspindle.engine.http_client import ConnectError, ExchangeBroken, HttpClient, NotSent, Response
+from yardspindle.fleet.store import gateway_json as j
+from yardspindle.fleet.store.interface import (
+    Granted,
+    Kept,
+    NotDone,
+    Unknown,
+    WatchBroken,
+    WentBack,
+)
+from yardspindle.protocol import http1
+from yardspindle.runtime.scheduler import DeadlineExceeded
+from yardspindle.runtime.world import World
+
+T = TypeVar("T")
+JSON_HEADERS: http1.Headers = [(b"content-type", b"application/json")]
+CONNECT_US = 300_000  # an endpoint that cannot be connected to costs no more before the next is tried
+IDLE_US = 30_000_000
+# gRPC codes by which nothing was done: invalid argument, not found, already exists, permission, precondition,
+# out of range, unimplemented, unauthenticated. Any other may come after the leader took the request.
+NOTHING_DONE = frozenset((3, 5, 6, 7, 9, 11, 12, 16))
+NO_LEADER = "etcdserver: no leader"  # said before a request is proposed
+COMPACTED = "required revision has been compacted"
+
+
+class Gateway:
+    """See Store."""
+
+    def __init__(self, world: World, endpoints: Sequence[tuple[str, int]], call_us: int) -> None:
+        """`call_us`: the bound of one call to one endpoint."""
+        self._world = world
+        self._endpoints = list(endpoints)
+        self._at = 0
+        self._call_us = call_us
+        self._http = HttpClient(world, min(CONNECT_US, call_us), IDLE_US)
+        self.seen = 0  # the highest revision heard
+        self.cluster = 0
+        self.calls = 0
+        self._refused = ""  # why this store is not used any more
+
+    def range(self, key: bytes, end: bytes = b"", revision: int = 0) -> Rows:
+        """See Store."""
+        call = j.RangeCall(j.b64(key), j.b64(end), str(revision) if revision else 0)
+        reply = self._ask(j.RANGE, msgspec.json.encode(call), j.RangeReply, writes=False)
+        return Rows(int(reply.header.revision), tuple(j.row_in(row) for row in reply.kvs))
+
+    def txn(self, txn: Txn) -> TxnAnswer:
+        """See Store."""
+        data, before = self._call(j.TXN, j.txn_out(txn), writes=True)
+        try:
+            answer = j.answer_in(data)
+            self._check(before, j.decode(data, j.TxnReply).header)
+        except j.Malformed as error:
+            raise Unknown(f"the answer is malformed: {error}") from None
+        return answer
+
+    def grant(self, ttl_us: int) -> Granted:
+        """See Store."""
+        call = j.LeaseCall(TTL=str(-(-ttl_us // 1_000_000)))
+        reply = self._ask(j.GRANT, msgspec.json.encode(call), j.LeaseReply, writes=True)
+        return Granted(int(reply.ID), int(reply.TTL) * 1_000_000)
+
+    def keep_alive(self, lease: int) -> Kept:
+        """See Store."""
+        reply = self._ask(j.KEEP_ALIVE, msgspec.json.encode(j.LeaseCall(ID=str(lease))), j.LeaseStream, writes=True)
+        return Kept(int(reply.result.TTL) * 1_000_000, int(reply.result.header.revision))
+
+    def revoke(self, lease: int) -> None:
+        """See Store."""
+        try:
+            self._ask(j.REVOKE, msgspec.json.encode(j.LeaseCall(ID=str(lease))), j.LeaseReply, writes=True)
+        except NotDone as error:
+            if "requested lease not found" not in str(error):
+                raise
+
+    def time_left_us(self, lease: int) -> int:
+        """See Store."""
+        reply = self._ask(j.TIME_LEFT, msgspec.json.encode(j.LeaseCall(ID=str(lease))), j.LeaseReply, writes=False)
+        left = int(reply.TTL)
+        return left * 1_000_000 if left > 0 else left
+
+    def watch(self, key: bytes, end: bytes, revision: int) -> GatewayWatch:
+        """See Store."""
+        call = j.WatchCall(j.WatchCreate(j.b64(key), j.b64(end), str(revision), True))
+        response = self._respond(j.WATCH, msgspec.json.encode(call), writes=False)
+        return GatewayWatch(self, response)
+
+    # --- calls
+
+    def _ask(self, target: bytes, body: bytes, kind: type[T], writes: bool) -> T:
+        data, before = self._call(target, body, writes)
+        try:
+            reply = j.decode(data, kind)
+        except j.Malformed as error:
+            raise (Unknown if writes else NotDone)(f"the answer is malformed: {error}") from None
+        header = getattr(reply, "header", None) or getattr(getattr(reply, "result", None), "header", None)
+        if header is not None:
+            self._check(before, header)
+        return reply
+
+    def _call(self, target: bytes, body: bytes, writes: bool) -> tuple[bytes, int]:
+        """An answer's body, and the highest revision heard before the call."""
+        before = self.seen
+        limit = self._world.deadline(self._world.now_us() + self._call_us * max(len(self._endpoints), 1))
+        try:
+            with limit:
+                response = self._respond(target, body, writes)
+                try:
+                    return response.read_all(), before
+                except ExchangeBroken as error:
+                    raise (Unknown if writes else NotDone)(f"broken off: {error}") from None
+                finally:
+                    response.close()
+        except DeadlineExceeded:
+            if not limit.passed:
+                raise
+            raise (Unknown if writes else NotDone)("no answer in time") from None
+
+    def _respond(self, target: bytes, body: bytes, writes: bool) -> Response:
+        """The first endpoint's answer that is one, its head read; each is tried once."""
+        why = "no endpoint"
+        if self._refused:
+            raise WentBack(self._refused)
+        for _ in range(len(self._endpoints)):
+            host, port = self._endpoints[self._at]
+            self.calls += 1
+            limit = self._world.deadline(self._world.now_us() + self._call_us)
+            try:
+                with limit:
+                    response = self._http.request(host, port, b"POST", target, JSON_HEADERS, body)
+                    if response.head.status == 200:
+                        return response
+                    error = j.error_in(response.read_all())
+                    response.close()
+            except (ConnectError, NotSent) as broken:
+                why = str(broken)
+            except ExchangeBroken as broken:
+                if writes:
+                    self._next()
+                    raise Unknown(str(broken)) from None
+                why = str(broken)
+            except DeadlineExceeded:
+                if not limit.passed:
+                    raise
+                if writes:
+                    self._next()
+                    raise Unknown("no answer in time") from None
+                why = "no answer in time"
+            else:
+                why = f"{error.code}: {error}"
+                if COMPACTED in why:
+                    raise Compacted(0)
+                if error.code in NOTHING_DONE:
+                    raise NotDone(why)
+                if writes and str(error) != NO_LEADER:
+                    self._next()
+                    raise Unknown(why)
+            self._next()
+        raise NotDone(why)
+
+    def _next(self) -> None:
+        self._at = (self._at + 1) % max(len(self._endpoints), 1)
+
+    def _check(self, before: int, header: j.Header) -> None:
+        """Refuse an answer from before what was heard, or from another cluster."""
+        revision, cluster = int(header.revision), int(header.cluster_id)
+        if self.cluster and cluster and cluster != self.cluster:
+            self._refused = f"the store is another cluster ({cluster}, was {self.cluster})"
+        elif revision < before:
+            self._refused = f"the store stands at revision {revision}; it had told {before}"
+        if self._refused:
+            raise WentBack(self._refused)
+        self.cluster = cluster or self.cluster
+        self.seen = max(self.seen, revision)
+
+
+class GatewayWatch:
+    """See Watch."""
+
+    def __init__(self, gateway: Gateway, response: Response) -> None:
+        """Take over the stream."""
+        self._gateway = gateway
+        self._response = response
+        self._buffer = b""
+
+    def next(self) -> Changes:
+        """See Watch."""
+        while True:
+            line, found, rest = self._buffer.partition(b"\n")
+            if not found:
+                self._buffer += self._piece()
+                continue
+            self._buffer = rest
+            if not line.strip():
+                continue
+            try:
+                stream = j.decode(line, j.WatchStream)
+            except j.Malformed as error:
+                raise WatchBroken(f"malformed: {error}") from None
+            if stream.error is not None or stream.result is None:
+                raise WatchBroken(stream.error.message if stream.error is not None else "neither result nor error")
+            reply = stream.result
+            if int(reply.compact_revision):
+                raise Compacted(int(reply.compact_revision))
+            if reply.canceled:
+                raise WatchBroken(reply.cancel_reason or "cancelled")
+            self._gateway._check(0, reply.header)
+            return j.changes_in(reply)
+
+    def _piece(self) -> bytes:
+        try:
+            piece = self._response.read()
+        except ExchangeBroken as error:
+            raise WatchBroken(str(error)) from None
+        if piece is None:
+            raise WatchBroken("the stream ended")
+        return piece
+
+    def close(self) -> None:
+        """See Watch."""
+        self._response.close()
+
+
--- /dev/null
+++ b/yardspindle/lab/etcd.py
@@ -0,0 +1,262 @@
+"""A stand-in for etcd's JSON gateway: the model of core/ behind HTTP, with a journal, and faults on command.
+
+`POST /lab/control` with `{"do": ...}`: `no_leader` and `leader`; `late` (ms before each answer); `lose` (so many
+answers are lost after their commit); `break_watches`; `expire` (all leases end early, as at a change of leader);
+`compact`; `mark` and `restore` (back to an older revision); `stale_reads` (serializable reads answer as marked).
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Literal
+
+import msgspec
+from msgspec import Struct
+
+from yardspindle.api.errors import JSON, ApiError
+from yardspindle.api.serving import Exchange, Reply, Server, ServingLimits
+from yardspindle.core.fleet.kv import BadRequest, Change, Changes, Compacted, Txn, covers
+from yardspindle.core.fleet.kv_model import Model
+from yardspindle.fleet.store import gateway_json as j
+from yardspindle.protocol import http1
+from yardspindle.runtime.scheduler import Signal
+from yardspindle.runtime.world import StreamError, World
+
+CONTROL = b"/lab/control"
+EXPIRE_US = 10_000  # how often leases are looked at
+PATHS = (j.RANGE, j.TXN, j.GRANT, j.KEEP_ALIVE, j.REVOKE, j.TIME_LEFT, j.COMPACT, j.WATCH, CONTROL)
+
+
+class Control(Struct, forbid_unknown_fields=True):
+    """A command."""
+
+    do: Literal["no_leader", "leader", "late", "lose", "break_watches", "expire", "compact", "mark", "restore",
+                "stale_reads"]
+    ms: float = 0.0
+    count: int = 0
+    on: bool = True
+
+
+@dataclass(slots=True)
+class Follower:
+    """An open watch."""
+
+    key: bytes
+    end: bytes
+    waiting: list[bytes] = field(default_factory=list)
+    turn: Signal | None = None
+    broken: bool = False
+
+
+class EtcdStandIn:
+    """One stand-in member, a cluster by itself."""
+
+    def __init__(self, world: World, journal: str = "") -> None:
+        """Nothing is opened before `start`."""
+        self.world = world
+        self.model = Model()
+        self.journal = journal
+        self.followers: list[Follower] = []
+        self.leaderless = False
+        self.late_us = 0
+        self.lose = 0
+        self.marked: Model | None = None
+        self.stale_reads = False
+        self.cluster = world.random("cluster").getrandbits(62) or 1
+        self._told = self.model.revision
+
+    def start(self, host: str, port: int) -> tuple[str, int]:
+        """Listen and serve. Raises OSError."""
+        listener = self.world.listen(host, port)
+        self.world.spawn("accept", Server(self.world, listener, self, ServingLimits(), self._fault).serve)
+        self.world.spawn("leases", self._expire)
+        return listener.host, listener.port
+
+    def note(self, event: str, **more: object) -> None:
+        """Append to the journal, at once."""
+        if self.journal:
+            line = {"t": self.world.now_us(), "ev": event, "revision": self.model.revision, **more}
+            self.world.append_file(self.journal, msgspec.json.encode(line) + b"\n")
+
+    def _fault(self, fault: BaseException) -> None:
+        if not isinstance(fault, StreamError):
+            self.note("fault", text=f"{type(fault).__name__}: {fault}")
+
+    def _expire(self) -> None:
+        while True:
+            now = self.world.now_us()
+            ended = [n for n, lease in self.model.leases.items() if lease.ends_us <= now]
+            if ended:
+                self.model.expire(now)
+                self.note("expired", leases=ended)
+                self._tell()
+            self.world.sleep_until(now + EXPIRE_US)
+
+    # --- routes
+
+    def early(self, head: http1.RequestHead) -> Reply | None:
+        """See Handler."""
+        if head.method != b"POST" or head.target not in PATHS:
+            return ApiError(404, "not_found", "Not Found").reply()
+        return None
+
+    def malformed(self, error: http1.ProtocolError) -> Reply:
+        """See Handler."""
+        return ApiError(error.status, "malformed_request", error.reason).reply()
+
+    def handle(self, exchange: Exchange) -> None:
+        """See Handler."""
+        target, body = exchange.head.target, exchange.body
+        if target == CONTROL:
+            self._control(msgspec.json.decode(body, type=Control))
+            return exchange.reply(Reply(200, [JSON], b"{}"))
+        if self.late_us:
+            self.world.sleep_until(self.world.now_us() + self.late_us)
+        if self.leaderless:
+            return self._error(exchange, target, body, BadRequest(14, "etcdserver: no leader"))
+        if target == j.WATCH:
+            return self._watch(exchange, j.decode(body, j.WatchCall).create_request)
+        try:
+            answer = self._answer(target, body)
+        except BadRequest as error:
+            return self._error(exchange, target, body, error)
+        except Compacted:
+            return self._error(exchange, target, body, BadRequest(
+                11, "etcdserver: mvcc: required revision has been compacted"))
+        except j.Malformed as error:
+            return self._error(exchange, target, body, BadRequest(3, str(error)))
+        self._tell()
+        lost = self.lose > 0 and target not in (j.RANGE, j.TIME_LEFT)
+        self.note("call", path=target.decode(), call=msgspec.Raw(body), answer=msgspec.Raw(answer), lost=lost)
+        if lost:
+            self.lose -= 1
+            exchange.stream.abort()
+            return None
+        exchange.reply(Reply(200, [JSON], answer))
+        return None
+
+    def _error(self, exchange: Exchange, target: bytes, body: bytes, error: BadRequest) -> None:
+        self.note("refused", path=target.decode(), call=msgspec.Raw(body), code=error.code, text=str(error))
+        status = {3: 400, 5: 404, 9: 400, 11: 400, 14: 503}.get(error.code, 500)
+        exchange.reply(Reply(status, [JSON], msgspec.json.encode(j.ErrorReply(str(error), error.code, str(error)))))
+
+    def _header(self) -> j.Header:
+        return j.Header(str(self.cluster), "1", str(self.model.revision), "2")
+
+    def _answer(self, target: bytes, body: bytes) -> bytes:
+        now, model = self.world.now_us(), self.model
+        reply: Struct
+        match target:
+            case j.RANGE:
+                call = j.decode(body, j.RangeCall)
+                if call.serializable and self.stale_reads and self.marked is not None:
+                    model = self.marked
+                rows = model.range(j.unb64(call.key), j.unb64(call.range_end), int(call.revision))
+                head = j.Header(str(self.cluster), "1", str(rows.revision), "2")
+                reply = j.RangeReply(head, [j.row_out(row) for row in rows.rows], count=str(len(rows.rows)))
+            case j.TXN:
+                txn: Txn = j.txn_in(body)
+                return j.answer_out(txn, model.txn(txn), self._header())
+            case j.GRANT:
+                lease_call = j.decode(body, j.LeaseCall)
+                lease = model.grant(now, int(lease_call.TTL), int(lease_call.ID))
+                reply = j.LeaseReply(self._header(), str(lease), str(model.leases[lease].ttl_us // 1_000_000))
+            case j.KEEP_ALIVE:
+                lease = int(j.decode(body, j.LeaseCall).ID)
+                reply = j.LeaseStream(j.LeaseReply(self._header(), str(lease), str(model.keep_alive(now, lease))))
+            case j.REVOKE:
+                model.revoke(int(j.decode(body, j.LeaseCall).ID))
+                reply = j.LeaseReply(self._header())
+            case j.TIME_LEFT:
+                lease = int(j.decode(body, j.LeaseCall).ID)
+                reply = j.LeaseReply(self._header(), str(lease), str(model.time_left(now, lease)))
+            case _:
+                model.compact(int(j.decode(body, j.RangeCall).revision))
+                reply = j.LeaseReply(self._header())
+        return msgspec.json.encode(reply)
+
+    # --- watches
+
+    def _watch(self, exchange: Exchange, call: j.WatchCreate) -> None:
+        key, end, since = j.unb64(call.key), j.unb64(call.range_end), int(call.start_revision)
+        head = exchange.start(200, [JSON])
+        created = j.WatchStream(j.WatchReply(self._header(), created=True))
+        exchange.send(msgspec.json.encode(created) + b"\n", head)
+        try:
+            missed = self.model.since(key, end, since) if since else Changes(self.model.revision)
+        except Compacted as error:
+            gone = j.WatchReply(self._header(), canceled=True, compact_revision=str(error.revision))
+            return exchange.finish(msgspec.json.encode(j.WatchStream(gone)) + b"\n")
+        follower = Follower(key, end)
+        self.followers.append(follower)
+
+        def left() -> None:
+            follower.broken = True
+            if follower.turn is not None:
+                follower.turn.set()
+
+        exchange.on_gone = left
+        try:
+            if missed.changes:
+                exchange.send(j.changes_out(missed, self._header()))
+            while not follower.broken:
+                if not follower.waiting:
+                    follower.turn = self.world.signal()
+                    follower.turn.wait()
+                    continue
+                lines, follower.waiting = follower.waiting, []
+                exchange.send(b"".join(lines))
+            exchange.stream.abort()
+        finally:
+            self.followers.remove(follower)
+        return None
+
+    def _tell(self) -> None:
+        """Let the watches have what changed since they were last told."""
+        if self.model.revision == self._told:
+            return
+        news = self.model.since(b"\0", b"\0", self._told + 1)
+        self._told = self.model.revision
+        for follower in self.followers:
+            mine: tuple[Change, ...] = tuple(c for c in news.changes if (
+                covers(follower.key, follower.end, c.row.key) if follower.end else c.row.key == follower.key))
+            if mine:
+                follower.waiting.append(j.changes_out(Changes(news.revision, mine), self._header()))
+                if follower.turn is not None:
+                    follower.turn.set()
+
+    # --- faults
+
+    def _control(self, control: Control) -> None:
+        self.note("control", do=control.do)
+        match control.do:
+            case "no_leader":
+                self.leaderless = True
+            case "leader":
+                self.leaderless = False
+            case "late":
+                self.late_us = int(control.ms * 1_000)
+            case "lose":
+                self.lose = control.count
+            case "expire":
+                for lease in list(self.model.leases):
+                    self.model.revoke(lease)
+                self._tell()
+            case "compact":
+                self.model.compact(self.model.revision)
+            case "mark":
+                self.marked = self.model.copy()
+            case "restore" if self.marked is not None:
+                self.model = self.marked.copy()
+                self._told = self.model.revision
+                self._break()
+            case "stale_reads":
+                self.stale_reads = control.on
+            case _:
+                self._break()
+
+    def _break(self) -> None:
+        for follower in self.followers:
+            follower.broken = True
+            if follower.turn is not None:
+                follower.turn.set()
--- a/yardspindle/runtime/real.py
+++ b/yardspindle/runtime/real.py
@@ -10,6 +10,7 @@
 import signal as signals
 import socket
 import struct
+import time
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Any, Literal, TypeVar
 
@@ -24,7 +25,15 @@
     Signal,
     Task,
 )
-from yardspindle.runtime.world import ConnectError, ConnectReset, Listener, MessageSocket, Stream, StreamError
+from yardspindle.runtime.world import (
+    ConnectError,
+    ConnectReset,
+    Database,
+    Listener,
+    MessageSocket,
+    Stream,
+    StreamError,
+)
 
 if TYPE_CHECKING:
     import zmq
@@ -279,6 +288,16 @@
         finally:
             os.close(descriptor)
 
+    def machine_us(self) -> int:
+        """See World."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000
+
+    def database(self, path: str) -> Database:
+        """See World."""
+        from yardspindle.runtime.database import SqliteDatabase  # only here: a program without a store has none
+
+        return SqliteDatabase(path)
+
     def stop_on_signals(self) -> None:
         """Set `stop` at SIGINT or SIGTERM; called from the main thread, inside `run`."""
         def stop() -> None:
--- a/yardspindle/runtime/virtual.py
+++ b/yardspindle/runtime/virtual.py
@@ -23,7 +23,7 @@
     Task,
 )
 from yardspindle.runtime.virtual_network import Network, VirtualListener, VirtualMessages, VirtualStream
-from yardspindle.runtime.world import ConnectError, Listener, MessageSocket, Stream
+from yardspindle.runtime.world import ConnectError, Database, Listener, MessageSocket, Stream
 
 T = TypeVar("T")
 EPOCH_US = 1_700_000_000_000_000  # where every virtual clock starts
@@ -262,6 +262,14 @@
         if self.sim.on_append is not None:
             self.sim.on_append(path, data)
 
+    def machine_us(self) -> int:
+        """See World."""
+        return self.sim.now_us()
+
+    def database(self, path: str) -> Database:
+        """See World. There is none: programs here share a store over the network."""
+        raise OSError(95, "Operation not supported", path)
+
     def _lives(self) -> None:
         if not self.alive:
             raise Cancelled
--- a/yardspindle/runtime/world.py
+++ b/yardspindle/runtime/world.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, Literal, Protocol
 
 from yardspindle.runtime.scheduler import Channel, Deadline, Signal, Task
@@ -78,6 +78,33 @@
         """Close, dropping what was not sent."""
 
 
+class Database(Protocol):
+    """Tables in a file. See runtime/database.py for what is raised."""
+
+    def run(self, statement: str, arguments: Sequence[Any] = ()) -> list[tuple[Any, ...]]:
+        """Carry out a statement; its rows."""
+
+    def begin(self) -> None:
+        """Start a transaction that writes."""
+
+    def commit(self) -> None:
+        """End it."""
+
+    def roll_back(self) -> None:
+        """Undo it, if one is open."""
+
+    def close(self) -> None:
+        """Close the file."""
+
+
+class DatabaseBusy(Exception):
+    """Another process holds the lock: try again later."""
+
+
+class DatabaseError(Exception):
+    """The file cannot be read or written."""
+
+
 class World(Protocol):
     """What a program may use of its surroundings."""
 
@@ -125,3 +152,9 @@
 
     def append_file(self, path: str, data: bytes) -> None:
         """Append to a file at once, in one write. Raises OSError."""
+
+    def machine_us(self) -> int:
+        """Microseconds since the machine started: one clock for all processes on it, which no step moves."""
+
+    def database(self, path: str) -> Database:
+        """An embedded database that processes of one machine share. Raises OSError where there is none."""
