--- a/benchmarks/first_token.py
+++ b/benchmarks/first_token.py
@@ -21,7 +21,8 @@
 
 from yardspindle.core.config import parse
 from yardspindle.edge.app import Edge
-from yardspindle.lab.engine import Engine, EngineSettings
+from yardspindle.lab.engine import Engine
+from yardspindle.lab.engine_settings import EngineSettings
 from yardspindle.lab.fleet import Box, server_list, to_toml
 from yardspindle.lab.load import LoadReport, Traffic, paired, run_load
 from yardspindle.planner.app import Planner
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -29,7 +29,7 @@
 from yardspindle.core.config import LogConfig
 from yardspindle.engine.http_client import HttpClient
 from yardspindle.engine.vllm import READ_PARAMS
-from yardspindle.lab.engine import EngineSettings
+from yardspindle.lab.engine_settings import EngineSettings
 from yardspindle.lab.fleet import Box, Dispatcher, Fleet
 from yardspindle.protocol import http1
 from yardspindle.protocol.sse import SseParser
--- a/tests/fleet_thread.py
+++ b/tests/fleet_thread.py
@@ -11,7 +11,8 @@
 
 from yardspindle.core.config import Config, parse
 from yardspindle.edge.app import Edge
-from yardspindle.lab.engine import Engine, EngineSettings
+from yardspindle.lab.engine import Engine
+from yardspindle.lab.engine_settings import EngineSettings
 from yardspindle.lab.fleet import to_toml
 from yardspindle.planner.app import Planner
 from yardspindle.runtime.real import RealWorld
--- a/tests/test_prefix_path.py
+++ b/tests/test_prefix_path.py
@@ -19,7 +19,8 @@
 from yardspindle.lab.audit import Figures, Report, audit
 from yardspindle.lab.clients import ClientClass, Clients, Habits, draw
 from yardspindle.lab.day import read_lines
-from yardspindle.lab.engine import Engine, EngineSettings
+from yardspindle.lab.engine import Engine
+from yardspindle.lab.engine_settings import EngineSettings
 from yardspindle.runtime import zeromq
 from yardspindle.runtime.real import RealWorld
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -15,7 +15,7 @@
 
 from tests.fleet_thread import FleetThread
 from yardspindle.api.serving import Exchange
-from yardspindle.lab.engine import EngineSettings
+from yardspindle.lab.engine_settings import EngineSettings
 
 MODEL = "yardspindle-demo"
 HELLO: Any = [{"role": "user", "content": "Hello"}]
--- a/yardspindle/cli/engine.py
+++ b/yardspindle/cli/engine.py
@@ -6,7 +6,8 @@
 import msgspec
 
 from yardspindle.cli.common import Failure, run_until_stopped
-from yardspindle.lab.engine import Engine, EngineSettings
+from yardspindle.lab.engine import Engine
+from yardspindle.lab.engine_settings import EngineSettings
 from yardspindle.runtime.real import RealWorld
 
 
--- a/yardspindle/engine/vllm.py
+++ b/yardspindle/engine/vllm.py
@@ -26,6 +26,8 @@
 PLACES = b"/v1/yardspindle/places"
 STATES = b"/v1/yardspindle/states"
 PLACE_HEADER = b"x-yardspindle-place"
+HOLDS = b"/v1/yardspindle/holds"
+DUTY_HEADER, FENCE_HEADER = b"x-yardspindle-duty", b"x-yardspindle-fence"  # of who acts for the whole fleet
 JSON_HEADERS: http1.Headers = [(b"content-type", b"application/json")]
 ERROR_BYTES_MOST = 65_536
 READ_PARAMS = {"do_remote_decode": True, "do_remote_prefill": False, "remote_engine_id": None,
@@ -70,6 +72,19 @@
     error: _ErrorBody = field(default_factory=_ErrorBody)
 
 
+class HoldRow(Struct):
+    """Something that an engine holds; its id begins with the epoch of the edge that it is held for."""
+
+    id: str
+    kind: str
+
+
+class HoldsAnswer(Struct):
+    """All that it holds."""
+
+    holds: list[HoldRow] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class Ended:
     """How an attempt ended, for the core."""
--- a/yardspindle/lab/day.py
+++ b/yardspindle/lab/day.py
@@ -18,7 +18,8 @@
 from yardspindle.engine.http_client import ConnectError, ExchangeBroken, HttpClient
 from yardspindle.lab.audit import Figures, Report, audit
 from yardspindle.lab.clients import ClientClass, Clients, Habits, draw
-from yardspindle.lab.engine import CONTROL, EngineSettings
+from yardspindle.lab.engine import CONTROL
+from yardspindle.lab.engine_settings import EngineSettings
 from yardspindle.lab.fleet import Box, Dispatcher, Fleet
 from yardspindle.runtime.real import RealWorld
 from yardspindle.runtime.scheduler import DeadlineExceeded
--- a/yardspindle/lab/engine.py
+++ b/yardspindle/lab/engine.py
@@ -8,20 +8,19 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
-from dataclasses import dataclass, field
-from typing import Any, Literal
+from typing import Any
 
 import msgspec
 import xxhash
-from msgspec import Struct
 
 from yardspindle.api.errors import JSON, ApiError, error_body
 from yardspindle.api.serving import Exchange, Reply, Server, ServingLimits
 from yardspindle.core.texts.tokens import ByteTokenizer
-from yardspindle.engine.http_client import ConnectError, ExchangeBroken, HttpClient
-from yardspindle.engine.vllm import COMPLETIONS, PLACE_HEADER, PLACES, STATES
+from yardspindle.engine.http_client import ConnectError, ExchangeBroken
+from yardspindle.engine.vllm import COMPLETIONS, HOLDS, PLACE_HEADER, PLACES
 from yardspindle.lab.block_cache import BlockCache
+from yardspindle.lab.engine_holds import Holds
+from yardspindle.lab.engine_settings import Call, Control, EngineSettings, Held, text_of
 from yardspindle.protocol import http1
 from yardspindle.protocol.sse import write_event
 from yardspindle.runtime.scheduler import DeadlineExceeded, Signal
@@ -32,110 +31,24 @@
 TOPIC = b"kv-events"
 END_OF_REPLAY = (-1).to_bytes(8, "big", signed=True)
 FETCH_US = 5_000_000
-WINDOW_PARTS = 20
 
 
-class EngineSettings(Struct, forbid_unknown_fields=True, frozen=True):
-    """How large and how fast it is."""
-
-    name: str = "engine"
-    role: Literal["read", "write", "both"] = "both"
-    slots: int = 16
-    queue: int = 32
-    memory_tokens: int = 640_000  # a token is a byte here, where a model's are about four
-    cache_tokens: int = 640_000
-    block_size: int = 64
-    read_tokens_per_s: float = 160_000.0
-    step_ms: float = 4.0
-    move_tokens_per_s: float = 1_600_000.0
-    cold_ms: float = 0.0
-    start_capacity: float = 1.0
-    fall_multiple: float = 2.5
-    fall_ms: float = 2_000.0
-    hold_ms: float = 5_000.0
-    places: bool = True
-    events: bool = False
-    journal: str = ""
-
-
-class Control(Struct, forbid_unknown_fields=True):
-    """A command to misbehave."""
-
-    do: Literal["hang", "wake", "slow", "forget", "reset_streams", "drain", "full", "normal", "listed_draining",
-                "listed_serving"]
-    factor: float = 1.0
-
-
-class _Message(Struct):
-    role: str
-    content: Any = None
-
-
-class _Call(Struct):
-    messages: list[_Message]
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
-    stream: bool = False
-    stream_options: dict[str, Any] | None = None
-    kv_transfer_params: dict[str, Any] | None = None
-    metadata: dict[str, str] | None = None
-    tools: msgspec.Raw = msgspec.Raw(b"")
-
-
-class _PlaceCall(Struct):
-    place: str
-    tokens: int
-    read: dict[str, Any] = {}
-
-
-@dataclass(slots=True)
-class Held:
-    """A state or place."""
-
-    tokens: int
-    expires_us: int
-
-
-@dataclass(slots=True)
-class Load:
-    """What runs and waits."""
-
-    running: int = 0
-    waiting: deque[Signal] = field(default_factory=deque)
-    memory: int = 0
-    arrivals: deque[tuple[int, float]] = field(default_factory=deque)
-
-
-def text_of(content: Any) -> bytes:
-    """A message's text, as the router takes it."""
-    if isinstance(content, str):
-        return content.encode()
-    parts = (part.get("text") for part in content or [])
-    return "\n".join(part for part in parts if isinstance(part, str)).encode()
-
-
-class Engine:
+class Engine(Holds):
     """One stand-in."""
 
     def __init__(self, world: World, settings: EngineSettings) -> None:
         """Nothing is opened before `start`."""
-        self.world = world
-        self.set = settings
-        self.load = Load()
+        super().__init__(world, settings)
         self.tokenizer = ByteTokenizer()
         salt = world.random(f"salt {settings.name} {world.now_us()}").getrandbits(63)
         self.cache = BlockCache(settings.cache_tokens // settings.block_size, settings.block_size, salt,
                                 self._publish, lambda: world.now_us() / 1e6)
         self._events: MessageSocket | None = None
         self.events_port = self.replay_port = 0
-        self.states: dict[str, Held] = {}
-        self.places: dict[str, Held] = {}
-        self.released: OrderedDict[str, None] = OrderedDict()  # ids let go before their read or place was there
         self.started_us = world.now_us()
         self.slow = 1.0
-        self.full = self.draining = self.reset = False
+        self.reset = False
         self.hung: Signal | None = None
-        self.http = HttpClient(world, 1_000_000, 4_000_000)
         self.host, self.port = "", 0
 
     def start(self, host: str, port: int, events_port: int = 0, replay_port: int = 0) -> tuple[str, int]:
@@ -165,12 +78,6 @@
                     socket.send([client, b"", number.to_bytes(8, "big"), data])
             socket.send([client, b"", END_OF_REPLAY, b""])
 
-    def note(self, event: str, request: str = "", **more: object) -> None:
-        """Append to the journal, at once."""
-        if self.set.journal:
-            line = {"t": self.world.now_us(), "box": self.set.name, "ev": event, "id": request, **more}
-            self.world.append_file(self.set.journal, msgspec.json.encode(line) + b"\n")
-
     def _fault(self, fault: BaseException) -> None:
         self.note("fault", "", text=f"{type(fault).__name__}: {fault}")
 
@@ -179,13 +86,12 @@
     def early(self, head: http1.RequestHead) -> Reply | None:
         """See Handler."""
         target = head.target
-        if head.method == b"DELETE" and self.hung is not None:
+        if head.method in (b"DELETE", b"GET") and self.hung is not None:
             self.hung.wait()
         if head.method == b"DELETE" and self.set.places:
-            for root, held in ((STATES, self.states), (PLACES, self.places)):
-                if target.startswith(root + b"/"):
-                    self._release(held, target[len(root) + 1:].decode())
-                    return Reply(204, [], b"")
+            return self._let_go(head)
+        if head.method == b"GET" and target == HOLDS and self.set.holds:
+            return self._told()
         if head.method != b"POST":
             return ApiError(405, "method_not_allowed", "POST only.").reply()
         if target in (COMPLETIONS, CONTROL) or target.startswith(FETCH) or (target == PLACES and self.set.places):
@@ -211,7 +117,7 @@
 
     def _completion(self, exchange: Exchange) -> None:
         request = (exchange.head.get(b"x-request-id") or b"").decode()
-        call = msgspec.json.decode(exchange.body, type=_Call)
+        call = msgspec.json.decode(exchange.body, type=Call)
         params = call.kv_transfer_params or {}
         stage = "read" if params.get("do_remote_decode") else "write"
         lab_id = (call.metadata or {}).get("lab_id", "")
@@ -325,29 +231,23 @@
         self.load.memory += tokens
         return True
 
-    def _leave(self, tokens: int) -> None:
-        self.load.running -= 1
-        self.load.memory -= tokens
-        if self.load.waiting:
-            self.load.waiting.popleft().set()
-
     # --- reading
 
-    def _prompt(self, call: _Call) -> tuple[int, int, list[int], bytes]:
+    def _prompt(self, call: Call) -> tuple[int, int, list[int], bytes]:
         """Prompt tokens, those kept, its blocks, and the tokens themselves."""
         packed = self.tokenizer.packed([(m.role, text_of(m.content)) for m in call.messages],
                                        bytes(call.tools))
         hashes = self.cache.hashes(packed)
         return len(packed) // 4, self.cache.found(hashes) * self.set.block_size, hashes, packed
 
-    def _read_prompt(self, call: _Call, gone: Signal) -> tuple[int, int, bool]:
+    def _read_prompt(self, call: Call, gone: Signal) -> tuple[int, int, bool]:
         total, kept, hashes, packed = self._prompt(call)
         work_us = (total - kept) / self.set.read_tokens_per_s * 1e6
         there = self._pause(work_us * max(self.load.running, 1) * self.slow / self._warmth(), gone)
         self.cache.keep(hashes, packed)
         return total, kept, there
 
-    def _read(self, exchange: Exchange, request: str, call: _Call, params: dict[str, Any], lab_id: str,
+    def _read(self, exchange: Exchange, request: str, call: Call, params: dict[str, Any], lab_id: str,
               gone: Signal) -> str:
         total, kept, *_ = self._prompt(call)
         if not self._enter(exchange, request, total, (total - kept) / self.set.read_tokens_per_s * 1e6, gone):
@@ -372,7 +272,7 @@
 
     # --- writing
 
-    def _write(self, exchange: Exchange, request: str, call: _Call, params: dict[str, Any], lab_id: str,
+    def _write(self, exchange: Exchange, request: str, call: Call, params: dict[str, Any], lab_id: str,
                gone: Signal) -> str:
         total, kept, *_ = self._prompt(call)
         place = (exchange.head.get(PLACE_HEADER) or b"").decode()
@@ -401,7 +301,7 @@
         finally:
             self._leave(total)
 
-    def _length(self, call: _Call, lab_id: str) -> int:
+    def _length(self, call: Call, lab_id: str) -> int:
         most = call.max_completion_tokens or call.max_tokens or 32
         return 1 + xxhash.xxh3_64_intdigest(lab_id.encode()) % most if lab_id else most
 
@@ -428,7 +328,7 @@
         self.note("fetched", request)
         exchange.reply(Reply(200, [JSON], b"{}"))
 
-    def _answer(self, exchange: Exchange, request: str, call: _Call, total: int, kept: int, steps: int,
+    def _answer(self, exchange: Exchange, request: str, call: Call, total: int, kept: int, steps: int,
                 gone: Signal) -> str:
         sent = 0
         head = exchange.start(200, [(b"content-type", b"text/event-stream")]) if call.stream else b""
@@ -462,45 +362,3 @@
             tail = write_event(msgspec.json.encode({**base, "choices": [], "usage": usage}))
         exchange.finish(tail + write_event(b"[DONE]"))
         return "served"
-
-    # --- holds
-
-    def _place(self, exchange: Exchange) -> None:
-        call = msgspec.json.decode(exchange.body, type=_PlaceCall)
-        room = (self.load.running < self.set.slots and not self.load.waiting and not self.draining
-                and self.load.memory + call.tokens <= self.set.memory_tokens and not self.full)
-        if not room or call.place in self.released:
-            exchange.reply(Reply(409, [JSON], b'{"held":false}'))
-            return
-        self.load.running += 1
-        self.load.memory += call.tokens
-        self.places[call.place] = Held(call.tokens, self.world.now_us() + int(self.set.hold_ms * 1_000))
-        self.note("hold place", call.place)
-        exchange.reply(Reply(200, [JSON], b'{"held":true}'))
-
-    def _release(self, held: dict[str, Held], request: str) -> None:
-        known = held.pop(request, None)
-        if known is None:
-            self._remember(request)
-            return
-        self.note("release", request)
-        if held is self.places:
-            self._leave(known.tokens)
-
-    def _remember(self, request: str) -> None:
-        self.released[request] = None
-        while len(self.released) > 10_000:
-            self.released.popitem(last=False)
-
-    def _expire(self) -> None:
-        while True:
-            self.world.sleep_until(self.world.now_us() + int(self.set.hold_ms * 1_000 / WINDOW_PARTS))
-            now = self.world.now_us()
-            self.http.close_old()
-            for held in (self.states, self.places):
-                for request, known in list(held.items()):
-                    if now >= known.expires_us:
-                        del held[request]
-                        self.note("expire", request)
-                        if held is self.places:
-                            self._leave(known.tokens)
--- /dev/null
+++ b/yardspindle/lab/engine_holds.py
@@ -0,0 +1,125 @@
+"""What a stand-in engine holds for others: states, places, their releases and ends; and whose orders it obeys.
+
+Two extensions beside the edge's own releases: `GET /v1/yardspindle/holds` tells every hold with its id, and a release
+may come from somebody who acts for the fleet; it then names its duty and carries its fence, and one with a lower
+fence than the highest met is turned away with 409 `stale_fence`. Fences outlast the process in a file.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+import msgspec
+
+from yardspindle.api.errors import JSON, ApiError
+from yardspindle.api.serving import Exchange, Reply
+from yardspindle.core.fleet.fences import Fences
+from yardspindle.engine.http_client import HttpClient
+from yardspindle.engine.vllm import DUTY_HEADER, FENCE_HEADER, PLACES, STATES, HoldRow, HoldsAnswer
+from yardspindle.lab.engine_settings import EngineSettings, Held, Load, PlaceCall
+from yardspindle.protocol import http1
+from yardspindle.runtime.world import World
+
+WINDOW_PARTS = 20
+
+
+class Holds:
+    """States and places of one engine."""
+
+    def __init__(self, world: World, settings: EngineSettings) -> None:
+        """Holding nothing; fences are those met by earlier starts."""
+        self.world = world
+        self.set = settings
+        self.load = Load()
+        self.http = HttpClient(world, 1_000_000, 4_000_000)
+        self.states: dict[str, Held] = {}
+        self.places: dict[str, Held] = {}
+        self.released: OrderedDict[str, None] = OrderedDict()  # ids let go before their read or place was there
+        self.full = self.draining = False
+        self.fences = Fences(self._known_fences())
+
+    def _known_fences(self) -> dict[str, int]:
+        known: dict[str, int] = {}
+        try:
+            lines = self.world.read_file(self.set.fences).splitlines() if self.set.fences else []
+        except OSError:
+            lines = []
+        for line in lines:
+            duty, fence = msgspec.json.decode(line, type=tuple[str, int])
+            known[duty] = max(fence, known.get(duty, 0))
+        return known
+
+    def note(self, event: str, request: str = "", **more: object) -> None:
+        """Append to the journal, at once."""
+        if self.set.journal:
+            line = {"t": self.world.now_us(), "box": self.set.name, "ev": event, "id": request, **more}
+            self.world.append_file(self.set.journal, msgspec.json.encode(line) + b"\n")
+
+    def _leave(self, tokens: int) -> None:
+        self.load.running -= 1
+        self.load.memory -= tokens
+        if self.load.waiting:
+            self.load.waiting.popleft().set()
+
+    # --- routes
+
+    def _told(self) -> Reply:
+        rows = [HoldRow(name, "state") for name in self.states] + [HoldRow(name, "place") for name in self.places]
+        return Reply(200, [JSON], msgspec.json.encode(HoldsAnswer(rows)))
+
+    def _let_go(self, head: http1.RequestHead) -> Reply:
+        duty, fence = (head.get(DUTY_HEADER) or b"").decode(), head.get(FENCE_HEADER)
+        if fence is not None:
+            number = int(fence) if fence.isdigit() else 0
+            before = self.fences.highest.get(duty, 0)
+            admitted = self.fences.admits(duty, number)
+            self.note("order", head.target.rpartition(b"/")[2].decode(), duty=duty, fence=number, admitted=admitted)
+            if not admitted:
+                return ApiError(409, "stale_fence", f"The fence in force is {before}.").reply()
+            if self.set.fences and number > before:
+                self.world.append_file(self.set.fences, msgspec.json.encode((duty, number)) + b"\n")
+        for root, held in ((STATES, self.states), (PLACES, self.places)):
+            if head.target.startswith(root + b"/"):
+                self._release(held, head.target[len(root) + 1:].decode())
+                return Reply(204, [], b"")
+        return ApiError(404, "not_found", "No such path.").reply()
+
+    def _place(self, exchange: Exchange) -> None:
+        call = msgspec.json.decode(exchange.body, type=PlaceCall)
+        room = (self.load.running < self.set.slots and not self.load.waiting and not self.draining
+                and self.load.memory + call.tokens <= self.set.memory_tokens and not self.full)
+        if not room or call.place in self.released:
+            exchange.reply(Reply(409, [JSON], b'{"held":false}'))
+            return
+        self.load.running += 1
+        self.load.memory += call.tokens
+        self.places[call.place] = Held(call.tokens, self.world.now_us() + int(self.set.hold_ms * 1_000))
+        self.note("hold place", call.place)
+        exchange.reply(Reply(200, [JSON], b'{"held":true}'))
+
+    def _release(self, held: dict[str, Held], request: str) -> None:
+        known = held.pop(request, None)
+        if known is None:
+            self._remember(request)
+            return
+        self.note("release", request)
+        if held is self.places:
+            self._leave(known.tokens)
+
+    def _remember(self, request: str) -> None:
+        self.released[request] = None
+        while len(self.released) > 10_000:
+            self.released.popitem(last=False)
+
+    def _expire(self) -> None:
+        while True:
+            self.world.sleep_until(self.world.now_us() + int(self.set.hold_ms * 1_000 / WINDOW_PARTS))
+            now = self.world.now_us()
+            self.http.close_old()
+            for held in (self.states, self.places):
+                for request, known in list(held.items()):
+                    if now >= known.expires_us:
+                        del held[request]
+                        self.note("expire", request)
+                        if held is self.places:
+                            self._leave(known.tokens)
--- /dev/null
+++ b/yardspindle/lab/engine_settings.py
@@ -0,0 +1,99 @@
+"""A stand-in engine's settings, the calls that it reads, and what it counts."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any, Literal
+
+import msgspec
+from msgspec import Struct
+
+from yardspindle.runtime.scheduler import Signal
+
+
+class EngineSettings(Struct, forbid_unknown_fields=True, frozen=True):
+    """How large and how fast it is."""
+
+    name: str = "engine"
+    role: Literal["read", "write", "both"] = "both"
+    slots: int = 16
+    queue: int = 32
+    memory_tokens: int = 640_000  # a token is a byte here, where a model's are about four
+    cache_tokens: int = 640_000
+    block_size: int = 64
+    read_tokens_per_s: float = 160_000.0
+    step_ms: float = 4.0
+    move_tokens_per_s: float = 1_600_000.0
+    cold_ms: float = 0.0
+    start_capacity: float = 1.0
+    fall_multiple: float = 2.5
+    fall_ms: float = 2_000.0
+    hold_ms: float = 5_000.0
+    places: bool = True
+    events: bool = False
+    journal: str = ""
+    holds: bool = True  # it tells what it holds, and obeys releases that carry a fence
+    fences: str = ""  # file in which the highest fences met outlast this process
+
+
+class Control(Struct, forbid_unknown_fields=True):
+    """A command to misbehave."""
+
+    do: Literal["hang", "wake", "slow", "forget", "reset_streams", "drain", "full", "normal", "listed_draining",
+                "listed_serving"]
+    factor: float = 1.0
+
+
+class Message(Struct):
+    """One message of a prompt."""
+
+    role: str
+    content: Any = None
+
+
+class Call(Struct):
+    """A completion call, of either stage."""
+
+    messages: list[Message]
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+    stream_options: dict[str, Any] | None = None
+    kv_transfer_params: dict[str, Any] | None = None
+    metadata: dict[str, str] | None = None
+    tools: msgspec.Raw = msgspec.Raw(b"")
+
+
+class PlaceCall(Struct):
+    """A place is asked for."""
+
+    place: str
+    tokens: int
+    read: dict[str, Any] = {}
+
+
+@dataclass(slots=True)
+class Held:
+    """A state or place."""
+
+    tokens: int
+    expires_us: int
+
+
+@dataclass(slots=True)
+class Load:
+    """What runs and waits."""
+
+    running: int = 0
+    waiting: deque[Signal] = field(default_factory=deque)
+    memory: int = 0
+    arrivals: deque[tuple[int, float]] = field(default_factory=deque)
+
+
+def text_of(content: Any) -> bytes:
+    """A message's text, as the router takes it."""
+    if isinstance(content, str):
+        return content.encode()
+    parts = (part.get("text") for part in content or [])
+    return "\n".join(part for part in parts if isinstance(part, str)).encode()
--- a/yardspindle/lab/fleet.py
+++ b/yardspindle/lab/fleet.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from yardspindle.lab.engine import EngineSettings
+from yardspindle.lab.engine_settings import EngineSettings
 from yardspindle.runtime.process import Child, ChildError
 from yardspindle.runtime.real import RealWorld
 
--- a/yardspindle/lab/virtual_fleet.py
+++ b/yardspindle/lab/virtual_fleet.py
@@ -19,7 +19,8 @@
 from yardspindle.engine.http_client import ConnectError
 from yardspindle.lab.audit import Audit, Figures
 from yardspindle.lab.clients import ClientClass, Clients, Habits, Plan, draw
-from yardspindle.lab.engine import Engine, EngineSettings
+from yardspindle.lab.engine import Engine
+from yardspindle.lab.engine_settings import EngineSettings
 from yardspindle.lab.fleet import Box, server_list, to_toml
 from yardspindle.lab.script import EDGE_NAMES, PLANNER, SEEN_LINK_US, Script
 from yardspindle.planner.app import Planner
--- a/yardspindle/lab/worlds.py
+++ b/yardspindle/lab/worlds.py
@@ -13,7 +13,7 @@
 
 from yardspindle.lab import troubles
 from yardspindle.lab.clients import ClientClass, draw
-from yardspindle.lab.engine import EngineSettings
+from yardspindle.lab.engine_settings import EngineSettings
 from yardspindle.lab.fleet import Box
 from yardspindle.lab.script import BOXES, EDGE_NAMES, Script
 from yardspindle.lab.virtual_fleet import (
