--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,207 @@
+"""The real programs of a fleet on loopback: store, stewards, dispatchers, engines, each behind relays of ours.
+
+Every connection to the store, and every one of a steward to an engine or a member's page, passes a relay of its own.
+Tests wait for events: lines of the journals, or what the store tells.
+"""
+
+from __future__ import annotations
+
+import http.client
+import json
+import signal
+import sys
+import threading
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+from tests.relay import Relay
+from yardspindle.lab.fleet import to_toml
+from yardspindle.runtime.process import Child
+from yardspindle.runtime.real import RealWorld
+
+T = TypeVar("T")
+READY_US = 20_000_000
+S = 1_000_000
+TTL_MS = 1_000
+CONFIG: dict[str, Any] = {
+    "classes": [{"name": "chat", "effect": "safe", "aim_ms": 1_500, "give_up_ms": 10_000}],
+    "index": {"mode": "off"}, "log": {"format": "json"}}
+
+
+class Processes:
+    """Runs inside a RealWorld's program."""
+
+    def __init__(self, world: RealWorld, folder: Path, ttl_ms: int = TTL_MS) -> None:
+        self.world, self.folder, self.ttl_ms = world, folder, ttl_ms
+        self.children: dict[str, Child] = {}
+        self.relays: dict[str, Relay] = {}
+        self.ports: dict[str, int] = {}
+        self.boxes: dict[str, tuple[str, int]] = {}  # engine: role, cell
+
+    # --- starting
+
+    def child(self, name: str, *arguments: str) -> str:
+        """Start a program; gives its ready line."""
+        argv = [sys.executable, "-m", "yardspindle", *arguments]
+        self.children[name] = Child(self.world, name, argv, str(self.folder / f"{name}.log"))
+        return self.children[name].first_line(READY_US)
+
+    def store(self) -> None:
+        ready = self.child("store", "lab", "etcd", "--journal", str(self.folder / "store.jsonl"))
+        self.ports["store"] = int(ready.rpartition(":")[2])
+
+    def relay(self, name: str, port: int) -> Relay:
+        if name not in self.relays:
+            self.relays[name] = Relay(self.world, ("127.0.0.1", port))
+        return self.relays[name]
+
+    def engine(self, name: str, role: str, cell: int = 0, port: int = 0) -> None:
+        settings = {"name": name, "role": role, "journal": str(self.folder / f"{name}.jsonl"), "hold_ms": 60_000,
+                    "fences": str(self.folder / f"{name}.fences")}
+        file = self.folder / f"{name}.json"
+        file.write_text(json.dumps(settings))
+        ready = self.child(name, "engine", "--settings", str(file), "--port", str(port))
+        self.ports[name] = int(ready.split()[1].split("//")[1].split("/")[0].rpartition(":")[2])
+        self.boxes[name] = (role, cell)
+
+    def lists(self) -> None:
+        """Two lists of the same engines: the dispatchers' straight, the stewards' through relays."""
+        for file, by_relay in (("servers.toml", False), ("swept.toml", True)):
+            rows = [f"count = {len(self.boxes)}"]
+            for name, (role, cell) in self.boxes.items():
+                port = self.relay(f"engine {name}", self.ports[name]).port if by_relay else self.ports[name]
+                rows += ["[[servers]]", f'name = "{name}"', f'address = "127.0.0.1:{port}"',
+                         f'kind = "{"reader" if role == "read" else "writer"}"', f"cell = {cell}", "places = true"]
+            (self.folder / file).write_text("\n".join(rows) + "\n")
+
+    def config(self, name: str, **sections: Any) -> str:
+        relay = self.relay(f"store {name}", self.ports["store"])
+        fleet = {"store": [f"http://{relay.address}"], "ttl_ms": self.ttl_ms, "margin_ms": self.ttl_ms / 10,
+                 "call_ms": self.ttl_ms / 4, "member": name, **sections.pop("fleet", {})}
+        file = self.folder / f"{name}.toml"
+        file.write_bytes(to_toml({**CONFIG, "fleet": fleet, **sections}))
+        return str(file)
+
+    def steward(self, name: str) -> None:
+        self.child(name, "steward", self.config(name, planner={"servers": str(self.folder / "swept.toml")}))
+
+    def dispatcher(self, number: int, dispatchers: int = 1) -> None:
+        planner = {"servers": str(self.folder / "servers.toml"),
+                   "listen": f"127.0.0.1:{self.ports.get(f'p{number}', 0)}"}
+        ready = self.child(f"planner{number}", "plan", self.config(f"planner{number}", planner=planner))
+        self.ports[f"p{number}"] = int(ready.rpartition(":")[2])
+        self.edge(number, dispatchers)
+
+    def edge(self, number: int, dispatchers: int = 1) -> None:
+        edge = {"planner": f"127.0.0.1:{self.ports[f'p{number}']}", "number": number, "dispatchers": dispatchers,
+                "listen": f"127.0.0.1:{self.ports.get(f'edge{number}', 0)}"}
+        ready = self.child(f"edge{number}", "edge", self.config(f"edge{number}", edge=edge))
+        self.ports[f"edge{number}"] = int(ready.split("//")[1].split("/")[0].rpartition(":")[2])
+
+    # --- faults
+
+    def send(self, name: str, number: signal.Signals) -> None:
+        self.children[name].send(number)
+
+    def kill(self, name: str) -> None:
+        self.send(name, signal.SIGKILL)
+        assert self.children[name].wait(self.world.now_us() + 5 * S) is not None
+
+    def stop_all(self) -> None:
+        for child in self.children.values():
+            if child.running():
+                child.send(signal.SIGCONT)
+                child.send(signal.SIGKILL)
+        for child in self.children.values():
+            child.wait(self.world.now_us() + 5 * S)
+
+    # --- seeing
+
+    def until(self, what: str, look: Callable[[], T | None], within_us: int = 15 * S) -> T:
+        """Wait for something to be seen."""
+        until_us = self.world.now_us() + within_us
+        while True:
+            seen = look()
+            if seen:
+                return seen
+            assert self.world.now_us() < until_us, f"not seen: {what}"
+            self.world.sleep_until(self.world.now_us() + 5_000)
+
+    def lines(self, name: str) -> list[dict[str, Any]]:
+        """A journal, or a program's log."""
+        for file in (self.folder / f"{name}.jsonl", self.folder / f"{name}.log"):
+            if file.exists():
+                return [json.loads(line) for line in file.read_text().splitlines() if line.startswith("{")]
+        return []
+
+    def logged(self, name: str, event: str, **fields: Any) -> dict[str, Any] | None:
+        """The last line of a program's log with an event and these fields."""
+        path = self.folder / f"{name}.log"
+        found = [json.loads(line) for line in path.read_text().splitlines() if f'"{event}"' in line]
+        return next((row for row in reversed(found) if fields.items() <= row.items()), None)
+
+    def call(self, port: int, method: str, path: str, body: Any = None, timeout: float = 10.0) -> tuple[int, bytes]:
+        """A call from a thread, while the relays go on."""
+        result: list[tuple[int, bytes]] = []
+
+        def work() -> None:
+            connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+            try:
+                connection.request(method, path, json.dumps(body) if body is not None else None,
+                                   {"content-type": "application/json"})
+                answer = connection.getresponse()
+                result.append((answer.status, answer.read()))
+            except OSError as error:
+                result.append((0, str(error).encode()))
+            finally:
+                connection.close()
+
+        thread = threading.Thread(target=work)
+        thread.start()
+        self.until("an answer", lambda: not thread.is_alive(), round(timeout * S) + 2 * S)
+        return result[0]
+
+    def control(self, do: str, **more: Any) -> None:
+        assert self.call(self.ports["store"], "POST", "/lab/control", {"do": do, **more})[0] == 200
+
+    def rows(self, prefix: str) -> dict[str, tuple[dict[str, Any], int]]:
+        """Keys of the store under a prefix of the fleet: value and the revision that made it."""
+        import base64
+
+        from yardspindle.core.fleet.kv import prefix_end
+        key = f"/yardspindle/main/{prefix}".encode()
+        status, data = self.call(self.ports["store"], "POST", "/v3/kv/range", {
+            "key": base64.b64encode(key).decode(), "range_end": base64.b64encode(prefix_end(key)).decode()})
+        assert status == 200
+        return {base64.b64decode(row["key"]).decode()[len(key):]: (json.loads(base64.b64decode(row["value"])),
+                                                                   int(row["create_revision"]))
+                for row in json.loads(data).get("kvs", [])}
+
+    def owner(self, duty: str) -> tuple[str, int] | None:
+        """Who owns a duty, and its fence."""
+        row = self.rows("duties/").get(duty)
+        return (row[0]["name"], row[1]) if row else None
+
+    def chat(self, number: int = 0, tokens: int = 4, text: str = "hello", timeout: float = 10.0) -> tuple[int, bytes]:
+        body = {"model": "yardspindle-demo", "max_tokens": tokens, "messages": [{"role": "user", "content": text}]}
+        return self.call(self.ports[f"edge{number}"], "POST", "/v1/chat/completions", body, timeout)
+
+    def holds(self, engine: str) -> list[str]:
+        status, data = self.call(self.ports[engine], "GET", "/v1/yardspindle/holds")
+        assert status == 200
+        return [row["id"] for row in json.loads(data)["holds"]]
+
+
+def play(folder: Path, test: Callable[[Processes], None], ttl_ms: int = TTL_MS) -> None:
+    """Run a test with its programs, and end every one of them."""
+    world = RealWorld(seed=3)
+
+    def program() -> None:
+        processes = Processes(world, folder, ttl_ms)
+        try:
+            test(processes)
+        finally:
+            processes.stop_all()
+
+    world.run("processes", program)
--- /dev/null
+++ b/yardspindle/cli/fleet.py
@@ -0,0 +1,103 @@
+"""`yardspindle fleet members` and `fleet duties`: what the store tells of the fleet."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import click
+import msgspec
+
+from yardspindle.cli.common import Failure, load
+from yardspindle.core.fleet.kv import prefix_end
+from yardspindle.core.fleet.members import Keys, Member, Owner, read
+from yardspindle.fleet.store.interface import Store, StoreError
+from yardspindle.fleet.store.open import open_store
+from yardspindle.runtime.real import RealWorld
+
+AGAIN_US = 1_000_000  # between two looks with --watch
+
+Row = dict[str, Any]
+
+
+@click.group("fleet")
+def fleet_group() -> None:
+    """The processes of a fleet, by what they share."""
+
+
+def _shown(file: str, as_json: bool, watch: bool, columns: tuple[str, ...],
+           rows_of: Callable[[Store, Keys], list[Row]]) -> None:
+    config = load(file)
+    if not config.fleet.store:
+        raise Failure(f"{file}: fleet.store: missing")
+    world = RealWorld()
+
+    def show() -> None:
+        if watch:
+            world.stop_on_signals()
+        try:
+            store = open_store(world, config.fleet)
+            while True:
+                rows = rows_of(store, Keys(config.fleet.name))
+                if as_json:
+                    click.echo(msgspec.json.encode(rows).decode())
+                else:
+                    click.echo(_table(columns, rows))
+                if not watch or world.stop.is_set:
+                    return
+                world.sleep_until(world.now_us() + AGAIN_US)
+        except (StoreError, OSError) as error:
+            raise Failure(f"{file}: fleet.store: {', '.join(config.fleet.store)}: {error}") from None
+
+    world.run("fleet", show)
+
+
+def _table(columns: tuple[str, ...], rows: list[Row]) -> str:
+    lines = [columns, *(tuple(str(row[name]) for name in columns) for row in rows)]
+    widths = [max(len(line[at]) for line in lines) for at in range(len(columns))]
+    return "\n".join("  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip()
+                     for line in lines)
+
+
+def _left_s(store: Store, lease: int) -> float | None:
+    left_us = store.time_left_us(lease) if lease else -1
+    return round(left_us / 1e6, 1) if left_us >= 0 else None
+
+
+def _members(store: Store, keys: Keys) -> list[Row]:
+    rows = []
+    for row in store.range(keys.members, prefix_end(keys.members)).rows:
+        member = read(row.value, Member)
+        if member is not None:
+            rows.append({"kind": member.kind, "name": member.name, "epoch": member.epoch, "zone": member.zone,
+                         "page": member.page, "version": member.version, "able": member.able,
+                         "left_s": _left_s(store, row.lease)})
+    return rows
+
+
+def _duties(store: Store, keys: Keys) -> list[Row]:
+    rows = []
+    for row in store.range(keys.duties, prefix_end(keys.duties)).rows:
+        owner = read(row.value, Owner)
+        rows.append({"duty": row.key[len(keys.duties):].decode(), "owner": owner.name if owner else "?",
+                     "epoch": owner.epoch if owner else "?", "fence": row.create,
+                     "since_us": owner.since_us if owner else 0, "left_s": _left_s(store, row.lease)})
+    return rows
+
+
+@fleet_group.command("members")
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--json", "as_json", is_flag=True, help="One JSON list a look.")
+@click.option("--watch", is_flag=True, help="Look again every second.")
+def members_command(file: str, as_json: bool, watch: bool) -> None:
+    """Who is registered: kind, name, epoch, page, and how long the registration lasts."""
+    _shown(file, as_json, watch, ("kind", "name", "epoch", "zone", "page", "version", "able", "left_s"), _members)
+
+
+@fleet_group.command("duties")
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--json", "as_json", is_flag=True, help="One JSON list a look.")
+@click.option("--watch", is_flag=True, help="Look again every second.")
+def duties_command(file: str, as_json: bool, watch: bool) -> None:
+    """Who owns which duty: owner, fence, since when by the owner's clock, and how long its lease lasts."""
+    _shown(file, as_json, watch, ("duty", "owner", "epoch", "fence", "since_us", "left_s"), _duties)
--- a/yardspindle/cli/lab.py
+++ b/yardspindle/cli/lab.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import re
 import sys
 import tomllib
 from typing import Any
 
 import click
 
-from yardspindle.cli.common import Failure, load, set_up_logs
+from yardspindle.cli.common import Failure, load, run_until_stopped, set_up_logs
 from yardspindle.cli.worlds import seed_command, seeds_command, shrink_command
-from yardspindle.core.config import ConfigError, LogConfig, split_address
+from yardspindle.core.config import ADDRESS, ConfigError, LogConfig, split_address
 from yardspindle.lab.day import DayRun, load_day
+from yardspindle.lab.etcd import EtcdStandIn
 from yardspindle.lab.fleet import small_fleet
 from yardspindle.lab.load import LoadReport, Traffic, load_traffic, paired, run_load
 from yardspindle.runtime.process import ChildError
@@ -51,6 +53,23 @@
     sys.exit(1 if report.breaks else 0)
 
 
+@lab_group.command("etcd")
+@click.option("--listen", default="127.0.0.1:0", show_default=True, help="HOST:PORT; port 0: chosen by the system.")
+@click.option("--journal", default="", help="File that gets every request and answer as a line of JSON.")
+def etcd_command(listen: str, journal: str) -> None:
+    """Run a stand-in for etcd's JSON gateway, with faults on command."""
+    if re.fullmatch(ADDRESS, listen) is None:
+        raise Failure(f"--listen: {listen}: not an address with a port")
+    world = RealWorld()
+    stand_in = EtcdStandIn(world, journal)
+
+    def start() -> str:
+        host, port = stand_in.start(*split_address(listen))
+        return f"http://{host}:{port}"
+
+    run_until_stopped("etcd", world, start, lambda: None, f"--listen: {listen}")
+
+
 @lab_group.command("load")
 @click.argument("file", type=click.Path(dir_okay=False))
 @click.option("--at", "address", help="Edge on loopback, HOST:PORT; else a small fleet is started.")
--- /dev/null
+++ b/yardspindle/cli/steward.py
@@ -0,0 +1,40 @@
+"""`yardspindle steward FILE`: one steward, for work on behalf of the whole fleet."""
+
+from __future__ import annotations
+
+from importlib.metadata import version
+
+import click
+
+from yardspindle.cli.common import Failure, load, run_until_stopped, set_up_logs
+from yardspindle.core.config import ConfigError
+from yardspindle.fleet.store.interface import StoreError
+from yardspindle.fleet.store.open import open_store
+from yardspindle.runtime.real import RealWorld
+from yardspindle.steward.app import Steward
+
+
+@click.command("steward")
+@click.argument("file", type=click.Path(dir_okay=False))
+def steward_command(file: str) -> None:
+    """Run a steward: it takes duties of the fleet, one owner each. Any number of them may run."""
+    config = load(file)
+    set_up_logs(config.log)
+    if not config.fleet.store:
+        raise Failure(f"{file}: fleet.store: missing; a steward shares its duties through a store")
+    world = RealWorld()
+    running: list[Steward] = []
+
+    def start() -> str:
+        where = f"{file}: fleet.store: {', '.join(config.fleet.store)}"
+        try:
+            store = open_store(world, config.fleet)
+            store.range(b"\0")
+        except (StoreError, OSError) as error:
+            raise ConfigError(f"{where}: {error}") from None
+        running.append(Steward(world, config, store, version("yardspindle")))
+        host, port = running[0].start()
+        return f"http://{host}:{port}"
+
+    run_until_stopped("steward", world, start, lambda: running[0].leave(), f"{file}: fleet.listen: "
+                      f"{config.fleet.listen}")
--- a/yardspindle/core/config.py
+++ b/yardspindle/core/config.py
@@ -23,7 +23,8 @@
 NotNegative = Annotated[float, Meta(ge=0)]
 Part = Annotated[float, Meta(gt=0, le=1)]
 Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:-]{0,63}$")]
-Address = Annotated[str, Meta(pattern=r"^(\[[0-9a-fA-F:]+\]|[0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}$")]
+ADDRESS = r"^(\[[0-9a-fA-F:]+\]|[0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}$"
+Address = Annotated[str, Meta(pattern=ADDRESS)]
 
 
 class ConfigError(Exception):
@@ -116,6 +117,23 @@
     chat_template: str = ""
 
 
+StorePlace = Annotated[str, Meta(pattern=r"^(http://.+|file:.+)$")]
+
+
+class FleetConfig(Struct, forbid_unknown_fields=True, frozen=True):
+    """What this process shares with the others of its fleet; with no `store`, nothing."""
+
+    store: tuple[StorePlace, ...] = ()
+    name: Name = "main"
+    member: Name | None = None
+    listen: Address = "127.0.0.1:0"
+    advertise: Address | None = None
+    ttl_ms: Annotated[float, Meta(ge=1_000, le=600_000)] = 3_000.0
+    margin_ms: NotNegative = 300.0
+    call_ms: Positive = 500.0
+    clock_bound_ms: Positive = 5_000.0
+
+
 class LogConfig(Struct, forbid_unknown_fields=True, frozen=True):
     """Logs go to standard error."""
 
@@ -138,6 +156,7 @@
     edge: EdgeConfig = field(default_factory=EdgeConfig)
     planner: PlannerConfig = field(default_factory=PlannerConfig)
     index: IndexConfig = field(default_factory=IndexConfig)
+    fleet: FleetConfig = field(default_factory=FleetConfig)
     log: LogConfig = field(default_factory=LogConfig)
 
 
@@ -167,13 +186,30 @@
         raise ConfigError(f"{file}: edge.number: not under edge.dispatchers ({config.edge.dispatchers})")
     if config.edge.default_class is not None and config.edge.default_class not in {r.name for r in config.classes}:
         raise ConfigError(f"{file}: edge.default_class: no such class: {config.edge.default_class}")
-    for key, address in (("edge.listen", config.edge.listen), ("edge.planner", config.edge.planner),
+    _check_fleet(file, config.fleet)
+    for key, address in (("fleet.listen", config.fleet.listen), ("fleet.advertise", config.fleet.advertise),
+                         ("edge.listen", config.edge.listen), ("edge.planner", config.edge.planner),
                          ("planner.listen", config.planner.listen), ("planner.metrics", config.planner.metrics)):
         if address is not None and not _is_address(address):
             raise ConfigError(f"{file}: {key}: not an address with a port up to 65535: {address}")
     return config
 
 
+def _check_fleet(file: str, fleet: FleetConfig) -> None:
+    """Raises ConfigError."""
+    for place in fleet.store:
+        address = place.removeprefix("http://")
+        if address != place and (re.fullmatch(ADDRESS, address) is None or not _is_address(address)):
+            raise ConfigError(f"{file}: fleet.store: not http:// with an address and a port: {place}")
+    if len(fleet.store) > 1 and any(place.startswith("file:") for place in fleet.store):
+        raise ConfigError(f"{file}: fleet.store: a file is the only place there is, or none")
+    if 4 * fleet.call_ms > fleet.ttl_ms:
+        raise ConfigError(f"{file}: fleet.call_ms: over a quarter of ttl_ms ({fleet.ttl_ms:g}): "
+                          "one slow call would cost the lease")
+    if 3 * fleet.margin_ms > fleet.ttl_ms:
+        raise ConfigError(f"{file}: fleet.margin_ms: over a third of ttl_ms ({fleet.ttl_ms:g})")
+
+
 def decode_toml(file: str, data: bytes, kind: type[T]) -> T:
     """TOML bytes as a checked value. Raises ConfigError naming file, key and reason."""
     try:
--- a/yardspindle/core/fleet/ownership.py
+++ b/yardspindle/core/fleet/ownership.py
@@ -133,7 +133,14 @@
     """The process is to end: hand everything over."""
 
 
-Event = Granted | Kept | CallFailed | Told | Looked | Tick | Barred | Leave
+@dataclass(frozen=True, slots=True)
+class Restarted:
+    """This process started again soon after an earlier start, so many times in a row."""
+
+    times: int
+
+
+Event = Granted | Kept | CallFailed | Told | Looked | Tick | Barred | Leave | Restarted
 
 
 # --- what is to be done
@@ -172,10 +179,9 @@
 Command = AskLease | Take | Begin | End
 
 
-def start(name: str, figures: Figures, now_us: int, recent_starts: int = 0) -> tuple[State, tuple[Command, ...]]:
-    """A process begins. `recent_starts`: how often it did so shortly before; each doubles its pause."""
-    pause_us = figures.ttl_us << min(recent_starts - 1, LOSSES_MOST) if recent_starts else 0
-    return State(name, figures, asking=True, losses=recent_starts, able_us=now_us + pause_us), (AskLease(),)
+def start(name: str, figures: Figures, now_us: int) -> tuple[State, tuple[Command, ...]]:
+    """A process begins."""
+    return State(name, figures, asking=True, able_us=now_us), (AskLease(),)
 
 
 def may_act(state: State, now_us: int, duty: str) -> int | None:
@@ -221,6 +227,9 @@
             if yes and not state.barred:
                 state = _drop(state, now_us, state.held, commands, True, "its clock is out")
             state = replace(state, barred=yes)
+        case Restarted(times) if times:
+            state = replace(state, losses=state.losses + times, able_us=max(
+                state.able_us, now_us + (state.figures.ttl_us << min(times - 1, LOSSES_MOST))))
         case Leave():
             state = _drop(replace(state, leaving=True), now_us, state.held, commands, True, "it ends")
         case _:
--- a/yardspindle/edge/app.py
+++ b/yardspindle/edge/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from importlib.metadata import version
 
 import msgspec
 import structlog
@@ -25,12 +26,14 @@
 from yardspindle.edge.planner_link import PlannerLink
 from yardspindle.engine.http_client import HttpClient
 from yardspindle.engine.vllm import EngineClient
+from yardspindle.fleet.membership import join
 from yardspindle.link import frames
 from yardspindle.protocol import http1
 from yardspindle.protocol.sse import write_event
 from yardspindle.runtime.scheduler import DeadlineExceeded
 from yardspindle.runtime.world import StreamError, World
 
+VERSION = version("yardspindle")
 TICK_US = 20_000  # how often the core's own deadlines are looked at; as often as the policy's
 CLOSE_OLD_US = 1_000_000
 FIRST_PLANNER_US = 2_000_000  # how long "ready" waits for a planner; an edge without one only refuses
@@ -77,6 +80,9 @@
         self.world.spawn("accept", self._server.serve)
         self.world.spawn("planner link", self.link.run)
         self.world.spawn("tick", self._tick)
+        if self.config.fleet.store:
+            self.world.spawn("join", join, self.world, self.config.fleet, "edge", f"edge{self.config.edge.number}",
+                             self.unique, self.config.edge.zone, VERSION)
         try:
             with self.world.deadline(self.world.now_us() + FIRST_PLANNER_US):
                 self.link.came_up.wait()
--- a/yardspindle/planner/app.py
+++ b/yardspindle/planner/app.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from importlib.metadata import version
+
 import structlog
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 
@@ -17,6 +19,7 @@
 from yardspindle.core.request.planning import PlanningSession
 from yardspindle.core.request.planning import Reply as Decisions
 from yardspindle.fleet.file import FileSource
+from yardspindle.fleet.membership import join
 from yardspindle.link import frames
 from yardspindle.policy import Policy
 from yardspindle.protocol import http1
@@ -26,6 +29,7 @@
 GREETING_US = 2_000_000
 WRITE_US = 2_000_000  # an edge that takes no action for so long is cut off
 
+VERSION = version("yardspindle")
 log = structlog.get_logger("yardspindle.planner")
 
 
@@ -54,6 +58,10 @@
             listener = self.world.listen(*split_address(self.config.planner.metrics))
             pages = Server(self.world, listener, _Pages(self), ServingLimits(), lambda fault: log.error(str(fault)))
             self.world.spawn("metrics", pages.serve)
+        if self.config.fleet.store:
+            name = f"planner-{self._listener.host}:{self._listener.port}"
+            self.world.spawn("join", join, self.world, self.config.fleet, "planner", name, str(self.epoch),
+                             self.config.edge.zone, VERSION)
         return self._listener.host, self._listener.port
 
     def _accept(self, listener: Listener) -> None:
