Check the ownership protocol as an explicit-state model against the code's own step

Tests try some orders of events; a protocol that must hold whenever a process sleeps wants all of them.

--- /dev/null
+++ b/tests/ownership_model.py
@@ -0,0 +1,253 @@
+"""A small explicit-state model of ownership: two processes, one store, one receiver of orders, every order of events.
+
+The processes run the code's own transition function, the store the code's own transactions, the receiver the code's own
+fences; what the model adds is only what may happen between them: calls commit late, answers are late or lost, a process
+sleeps at any point, an order lies in a socket, the store ends a lease early. Calls other than takes are answered at
+once, but for one kept-alive lease whose answer is late.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from yardspindle.core.fleet import ownership as own
+from yardspindle.core.fleet.fences import Fences
+from yardspindle.core.fleet.kv import Put
+from yardspindle.core.fleet.kv_model import Model
+from yardspindle.core.fleet.members import Keys, Owner, holder
+
+KEYS, DUTY = Keys("m"), "d"
+UNIT = 1_000_000  # one step of time; leases have whole seconds
+NAMES = ("a", "b")
+
+
+@dataclass(frozen=True)
+class Call:
+    """A store call on its way: `answer` once it has committed."""
+
+    who: int
+    kind: str  # grant, keep, take, look, over
+    sent_us: int
+    lease: int = 0
+    fence: int = 0
+    answer: object = None
+    done: bool = False
+
+
+@dataclass(frozen=True)
+class World:
+    """Everything, as plain data; the store as the calls that made it."""
+
+    now: int
+    states: tuple[own.State, ...]
+    calls: tuple[Call, ...]
+    stopped: tuple[bool, ...]
+    orders: tuple[tuple[int, int], ...]  # who, fence: written into a socket
+    accepted: tuple[int, ...]  # fences of the orders obeyed, in order
+    highest: int
+    written: tuple[int, ...]  # fences of writes that the store took
+    store: Model
+    early: bool  # a lease was ended early
+    ever_stopped: bool
+    lost: int  # answers lost so far
+    late: bool = False  # an answer was kept back
+
+    def key(self) -> str:
+        store = (self.store.revision, sorted((n, k.ends_us) for n, k in self.store.leases.items()),
+                 self.store.rows(b"\0", b"\0"))
+        return repr((self.now, self.states, self.calls, self.stopped, self.orders, self.accepted[-1:], self.highest,
+                     self.written[-1:], store, self.early, self.ever_stopped, self.lost, self.late))
+
+
+@dataclass(frozen=True)
+class Rules:
+    """What is left out on purpose, to see that the model then finds what it guards against."""
+
+    receiver_compares: bool = True
+    store_compares: bool = True
+    counts_from_before: bool = True
+    late: bool = False  # what may happen
+    lost: bool = False
+    stops: bool = False
+    orders: int = 0
+    early: bool = False
+    ttl: int = 3
+    margin: int = 1
+    until: int = 7
+    states: int = 20_000  # where the search ends at the latest
+
+
+class Explorer:
+    def __init__(self, rules: Rules) -> None:
+        self.rules = rules
+
+    def first(self) -> World:
+        states, calls = [], []
+        for who, name in enumerate(NAMES):
+            state, commands = own.start(name, own.Figures(self.rules.ttl * UNIT, self.rules.margin * UNIT), 0)
+            states.append(state)
+            calls += self._calls(who, 0, commands)
+        world = World(0, tuple(states), (), (False, False), (), (), 0, (), Model(), False, False, 0)
+        for call in calls:
+            world = self._commit(world, world.calls, call)
+            world = self._answered(world, world.calls[:-1], world.calls[-1])
+        return world
+
+    def _calls(self, who: int, now: int, commands: tuple[own.Command, ...]) -> list[Call]:
+        calls = []
+        for command in commands:
+            match command:
+                case own.AskLease():
+                    calls.append(Call(who, "grant", now))
+                case own.Take(_, lease):
+                    calls.append(Call(who, "take", now, lease))
+                case own.End(_, fence, True, _):
+                    calls.append(Call(who, "over", now, fence=fence))
+                case _:
+                    pass
+        return calls
+
+    def feed(self, world: World, who: int, event: own.Event) -> World:
+        state, commands = own.step(world.states[who], world.now, event)
+        states = list(world.states)
+        states[who] = state
+        world = replace(world, states=tuple(states))
+        for call in self._calls(who, world.now, commands):
+            if call.kind == "take":
+                world = replace(world, calls=(*world.calls, call))
+            else:  # at once: what may go wrong with them is left to the seeded worlds
+                world = self._commit(world, world.calls, call)
+                world = self._answered(world, world.calls[:-1], world.calls[-1])
+        return world
+
+    # --- what may happen next
+
+    def nexts(self, world: World) -> Iterator[tuple[str, World]]:
+        if world.now < self.rules.until * UNIT:
+            yield "time", self._time(world, False)
+            if self.rules.late and not world.late:
+                yield "time, and an answer that is late", self._time(world, True)
+        for at, call in enumerate(world.calls):
+            rest = world.calls[:at] + world.calls[at + 1:]
+            if call.done and not world.stopped[call.who]:
+                yield f"late answer to {NAMES[call.who]}", self._answered(world, rest, call)
+            elif not call.done:
+                then = self._commit(world, rest, call)
+                answered = then.calls[-1]
+                if not world.stopped[call.who]:
+                    yield f"{NAMES[call.who]} takes", self._answered(then, then.calls[:-1], answered)
+                if self.rules.lost and not world.lost:
+                    look = Call(call.who, "look", world.now, call.lease, done=True)
+                    yield "an answer is lost", replace(then, lost=1, calls=(*then.calls[:-1], look))
+        for who in range(2):
+            fence = own.may_act(world.states[who], world.now, DUTY)
+            room = len(world.orders) < self.rules.orders and (who, fence) not in world.orders
+            if fence is not None and not world.stopped[who] and room:
+                yield f"{NAMES[who]} orders", replace(world, orders=(*world.orders, (who, fence)))
+            if world.stopped[who]:
+                yield f"{NAMES[who]} wakes", replace(world, stopped=(False, False))
+            elif self.rules.stops and not world.ever_stopped and fence is not None:
+                stopped = (who == 0, who == 1)
+                yield f"{NAMES[who]} is stopped", replace(world, stopped=stopped, ever_stopped=True)
+        for at, (who, fence) in enumerate(world.orders):
+            left = world.orders[:at] + world.orders[at + 1:]
+            yield f"order {fence} of {NAMES[who]} arrives", self._arrive(replace(world, orders=left), fence)
+        if world.store.leases and not world.early and self.rules.early:
+            store = world.store.copy()
+            store.revoke(min(store.leases))
+            yield "a lease ends early", replace(world, store=store, early=True)
+
+    def _time(self, world: World, late: bool) -> World:
+        now, store = world.now + UNIT, world.store.copy()
+        store.expire(now)
+        world = replace(world, now=now, store=store)
+        for who in range(2):
+            if world.stopped[who]:
+                continue
+            row = next(iter(world.store.rows(KEYS.duty(DUTY), b"")), None)
+            held = {} if row is None else {DUTY: holder(row)}
+            world = self.feed(world, who, own.Told(own.Seen(
+                world.store.revision, held, frozenset(NAMES), frozenset([DUTY]))))  # type: ignore[arg-type]
+            if world.states[who].lease and not any(c.who == who and c.kind == "keep" for c in world.calls):
+                world = self._commit(world, world.calls, Call(who, "keep", now, world.states[who].lease))
+                if late and not world.late:
+                    world = replace(world, late=True)
+                else:
+                    world = self._answered(world, world.calls[:-1], world.calls[-1])
+        return world
+
+    def _commit(self, world: World, rest: tuple[Call, ...], call: Call) -> World:
+        store = world.store.copy()
+        answer: object = None
+        store.expire(world.now)
+        match call.kind:
+            case "grant":
+                answer = store.grant(world.now, self.rules.ttl)
+            case "keep":
+                answer = store.keep_alive(world.now, call.lease)
+            case "take" if call.lease in store.leases:
+                answer = store.txn(KEYS.take(DUTY, Owner(NAMES[call.who], ""), call.lease))
+            case "over":
+                store.txn(KEYS.hand_over(DUTY, call.fence))
+        return replace(world, store=store, calls=(*rest, replace(call, answer=answer, done=True)))
+
+    def _answered(self, world: World, rest: tuple[Call, ...], call: Call) -> World:
+        world = replace(world, calls=rest)
+        sent = call.sent_us if self.rules.counts_from_before else world.now
+        row = next(iter(world.store.rows(KEYS.duty(DUTY), b"")), None)
+        match call.kind:
+            case "grant":
+                assert isinstance(call.answer, int)
+                return self.feed(world, call.who, own.Granted(call.answer, sent, self.rules.ttl * UNIT))
+            case "keep":
+                assert isinstance(call.answer, int)
+                return self.feed(world, call.who, own.Kept(call.lease, sent, call.answer * UNIT))
+            case "take" if call.answer is not None:
+                row = call.answer.found[-1][0]  # type: ignore[attr-defined]
+            case "over":
+                return world
+            case _:
+                pass
+        held = holder(row) if row is not None else None
+        return self.feed(world, call.who, own.Looked(DUTY, call.lease, held, world.store.revision))
+
+    def _arrive(self, world: World, fence: int) -> World:
+        """The receiver obeys or not; it also writes for the duty in the store, under the fence."""
+        receiver = Fences({DUTY: world.highest} if world.highest else {})
+        if receiver.admits(DUTY, fence) or not self.rules.receiver_compares:
+            world = replace(world, accepted=(*world.accepted, fence), highest=max(world.highest, fence))
+        store = world.store.copy()
+        txn = KEYS.under(DUTY, fence, Put(KEYS.clocks, b""))
+        done = store.txn(txn if self.rules.store_compares else replace(txn, compare=()))
+        return replace(world, store=store, written=(*world.written, fence) if done.succeeded else world.written)
+
+    # --- what must hold
+
+    def broken(self, before: World, world: World) -> str:
+        acting = [own.may_act(state, world.now, DUTY) for state in world.states]
+        if not world.early and all(fence is not None for fence in acting):
+            return f"two owners at once: fences {acting}"
+        for what, rows in (("obeyed", world.accepted), ("written", world.written)):
+            if len(rows) > 1 and rows[-1] < max(rows):
+                return f"fence {rows[-1]} {what} after {max(rows)}"
+        return ""
+
+    def explore(self) -> tuple[int, str, list[str]]:
+        """States seen, what broke (or nothing), and the way there."""
+        first = self.first()
+        seen, front = {first.key()}, [(first, [""])]
+        while front:
+            after = []
+            for world, way in front:
+                for what, then in self.nexts(world):
+                    if problem := self.broken(world, then):
+                        return len(seen), problem, [*way[1:], what]
+                    key = then.key()
+                    if key not in seen:
+                        seen.add(key)
+                        after.append((then, [*way, what]))
+                if len(seen) >= self.rules.states:
+                    return len(seen), "", []
+            front = after
+        return len(seen), "", []
