Prove ownership with real processes, relays and faults; find ten planted mistakes

After each an independent check reads the store's and the engines' journals only.

Two scenarios first proved nothing: the relay was shared by all stewards, and an owner was stopped before its order was written; each steward has relays of its own now, and the test waits until the order lies in a socket.

--- /dev/null
+++ b/tests/fleet_scenarios.py
@@ -0,0 +1,284 @@
+"""What is done to several real programs, and what must then be seen of them."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable
+
+from tests.fleet_check import check
+from tests.processes import Processes, S
+
+
+def small(p: Processes, stewards: int = 3) -> None:
+    p.store()
+    p.engine("r0", "read")
+    p.engine("w0", "write")
+    p.lists()
+    p.dispatcher(0)
+    for number in range(stewards):
+        p.steward(f"s{number}")
+
+
+def an_edge_that_is_killed_leaves_nothing_behind(p: Processes) -> None:
+    small(p, 2)
+    p.until("an owner", lambda: p.owner("sweep/0"))
+    p.until("the edge", lambda: "edge/edge0" in p.rows("members/"))
+    epoch = p.rows("members/")["edge/edge0"][0]["epoch"]
+    assert p.chat()[0] == 200
+    # A state that waits for a writer that hangs: held when the edge dies.
+    p.call(p.ports["w0"], "POST", "/v1/lab/control", {"do": "hang"})
+    thread = p.world.spawn("chat", p.chat, 0, 400, "hold this", 8.0)
+    p.until("a hold", lambda: p.holds("r0"))
+    p.kill("edge0")
+    p.kill("planner0")
+    died = p.world.now_us()
+    assert all(hold.startswith(epoch) for hold in p.holds("r0"))
+    p.until("the registration's end", lambda: "edge/edge0" not in p.rows("members/"))
+    ended = p.world.now_us()
+    p.until("nothing held", lambda: not p.holds("r0"))
+    assert p.world.now_us() - ended < 2 * S, "within 2 s of its lease's end"
+    assert ended - died < 3 * S
+    thread.join()
+
+
+def ready(p: Processes, stewards: int = 3) -> tuple[str, int]:
+    """A small fleet with an owner of the sweep, a held state in r0, and its edge's epoch."""
+    small(p, stewards)
+    owner = p.until("an owner", lambda: p.owner("sweep/0"))
+    p.until("the edge", lambda: "edge/edge0" in p.rows("members/"))
+    return owner
+
+
+def hold_a_state(p: Processes) -> str:
+    """A state at r0 that nothing but a sweep lets go of: its writer hangs."""
+    p.call(p.ports["w0"], "POST", "/v1/lab/control", {"do": "hang"})
+    p.world.spawn("chat", p.chat, 0, 400, "hold this", 8.0)
+    return p.until("a hold", lambda: p.holds("r0"))[0]
+
+
+def checked(p: Processes) -> None:
+    assert check(p.folder, p.boxes) == []
+
+
+def ordered(p: Processes, fence: int) -> bool:
+    return any(row["ev"] == "order" and row["fence"] == fence for row in p.lines("r0"))
+
+
+def other_owner(p: Processes, than: str) -> tuple[str, int]:
+    def look() -> tuple[str, int] | None:
+        owner = p.owner("sweep/0")
+        return owner if owner is not None and owner[0] != than else None
+
+    return p.until("another owner", look)
+
+
+def an_owner_that_was_stopped_wakes_up_late_and_does_no_harm(p: Processes) -> None:
+    name, fence = ready(p)
+    hold_a_state(p)
+    relay = p.relays[f"r0 {name}"]
+    p.until("it has swept", lambda: ordered(p, fence))
+    relay.cut()
+    p.kill("edge0")
+    p.until("its orders lie in sockets", lambda: relay.held)
+    p.send(name, signal.SIGSTOP)
+    stopped = p.world.now_us()
+    _, later = other_owner(p, name)
+    assert later > fence
+    p.until("nothing held", lambda: not p.holds("r0"))
+    while p.world.now_us() - stopped < 3 * p.ttl_ms * 1_000:
+        p.world.sleep_until(stopped + 3 * p.ttl_ms * 1_000)
+    seen = len(p.lines("r0"))
+    relay.mend()
+    p.until("its order arrives", lambda: any(row["ev"] == "order" and row["fence"] == fence
+                                             for row in p.lines("r0")[seen:]))
+    p.send(name, signal.SIGCONT)
+    p.until("it knows", lambda: p.logged(name, "duty ended"))
+    p.until("it takes part again", lambda: f"steward/{name}" in p.rows("members/"))
+    assert p.owner("sweep/0") is not None
+    checked(p)
+
+
+def an_owner_cut_off_from_the_store_alone_stops_by_itself(p: Processes) -> None:
+    name, fence = ready(p)
+    p.relays[f"store {name}"].cut()
+    cut = p.world.now_us()
+    _, later = other_owner(p, name)
+    assert later > fence and p.world.now_us() - cut < 4 * p.ttl_ms * 1_000
+    ended = p.until("it stops by itself", lambda: p.logged(name, "duty ended", duty="sweep/0"))
+    assert ended["why"] == "its lease could not be kept alive"
+    p.relays[f"store {name}"].mend()
+    p.until("it takes part again", lambda: f"steward/{name}" in p.rows("members/"))
+    checked(p)
+
+
+def an_edge_cut_off_from_the_store_keeps_what_it_holds(p: Processes) -> None:
+    ready(p, 2)
+    hold = hold_a_state(p)
+    p.relays["store edge0"].cut()
+    p.until("its registration's end", lambda: "edge/edge0" not in p.rows("members/"))
+    asked = p.world.now_us() + 2 * S
+    while p.world.now_us() < asked:
+        assert hold in p.holds("r0"), "it lives, though the store knows it no more"
+        p.world.sleep_until(p.world.now_us() + 50_000)
+    p.call(p.ports["w0"], "POST", "/v1/lab/control", {"do": "wake"})
+    assert p.chat()[0] == 200, "traffic goes on without the store"
+    p.relays["store edge0"].mend()
+    p.until("it is back", lambda: "edge/edge0" in p.rows("members/"))
+    checked(p)
+
+
+def a_stopped_edge_is_not_taken_for_a_dead_one(p: Processes) -> None:
+    ready(p, 2)
+    hold = hold_a_state(p)
+    p.send("edge0", signal.SIGSTOP)
+    p.until("its registration's end", lambda: "edge/edge0" not in p.rows("members/"))
+    asked = p.world.now_us() + 2 * S
+    while p.world.now_us() < asked:
+        assert hold in p.holds("r0")
+        p.world.sleep_until(p.world.now_us() + 50_000)
+    p.send("edge0", signal.SIGCONT)
+    p.until("it is back", lambda: "edge/edge0" in p.rows("members/"))
+    checked(p)
+
+
+def answers_lost_at_the_take_over(p: Processes) -> None:
+    name, fence = ready(p)
+    p.control("lose", count=4)
+    p.kill(name)
+    other, later = other_owner(p, name)
+    assert later > fence
+    p.until("it acts", lambda: p.logged(other, "duty taken", duty="sweep/0", fence=later))
+    checked(p)
+
+
+def leases_that_end_early(p: Processes) -> None:
+    name, fence = ready(p)
+    p.control("expire")
+    newer = p.until("it is owned anew", lambda: (
+        owner if (owner := p.owner("sweep/0")) is not None and owner[1] > fence else None))
+    p.until("the owner of before stops", lambda: p.logged(name, "duty ended", duty="sweep/0", fence=fence))
+    p.until("the next one acts", lambda: p.logged(newer[0], "duty taken", duty="sweep/0", fence=newer[1]))
+    p.until("all are back", lambda: len(p.rows("members/steward/")) == 3)
+    checked(p)
+
+
+def two_processes_of_one_configuration_are_one_member(p: Processes) -> None:
+    small(p, 1)
+    p.until("an owner", lambda: p.owner("sweep/0"))
+    p.child("copy", "steward", str(p.folder / "s0.toml"))
+    p.until("the copy is refused", lambda: p.logged("copy", "not registered"))
+    assert p.logged("copy", "duty taken") is None
+    p.kill("s0")
+    p.until("the copy takes its place", lambda: p.logged("copy", "duty taken", duty="sweep/0"))
+    checked(p)
+
+
+def a_store_that_is_away_and_comes_back_older_is_refused(p: Processes) -> None:
+    p.store()
+    p.control("mark")
+    p.engine("r0", "read")
+    p.engine("w0", "write")
+    p.lists()
+    p.dispatcher(0)
+    p.steward("s0")
+    p.until("an owner", lambda: p.owner("sweep/0"))
+    p.control("no_leader")
+    p.until("it stops by itself", lambda: p.logged("s0", "duty ended", duty="sweep/0"))
+    assert p.chat()[0] == 200, "traffic goes on without the store"
+    p.control("restore")
+    p.control("leader")
+    said = p.until("it says so", lambda: p.logged("s0", "the store went back; nothing is taken from it or "
+                                                        "written to it"))
+    assert "it had told" in said["reason"]
+    assert p.owner("sweep/0") is None and p.chat()[0] == 200
+    checked(p)
+
+
+def all_stewards_killed_at_once(p: Processes) -> None:
+    _, fence = ready(p)
+    hold_a_state(p)
+    for name in ("s0", "s1", "s2", "edge0"):
+        p.kill(name)
+    p.steward("s3")
+    owner = p.until("an owner", lambda: (
+        owner if (owner := p.owner("sweep/0")) is not None and owner[1] > fence else None))
+    assert owner[0] == "s3"
+    p.until("what the edge left is found by one who did not see it end", lambda: not p.holds("r0"))
+    checked(p)
+
+
+def all_but_the_owner_race(p: Processes) -> None:
+    name, _ = ready(p)
+    p.kill(name)
+    other_owner(p, name)
+    p.until("it acts", lambda: len([n for n in ("s0", "s1", "s2") if p.logged(n, "duty taken", duty="sweep/0")]) > 1)
+    checked(p)
+
+
+def an_edge_lives_while_another_dies(p: Processes) -> None:
+    small(p, 1)
+    p.dispatcher(1, 2)
+    p.until("both edges", lambda: len(p.rows("members/edge/")) == 2)
+    hold = hold_a_state(p)
+    p.kill("edge1")
+    p.until("one is gone", lambda: p.logged("s0", "an edge is gone for good"))
+    at = p.world.now_us()
+    p.until("engines were swept since", lambda: any(
+        row["ev"] == "order" and row["t"] > at for row in p.lines("r0")))
+    assert hold in p.holds("r0")
+    checked(p)
+
+
+def an_engine_that_was_restarted_refuses_an_old_order(p: Processes) -> None:
+    name, fence = ready(p)
+    relay = p.relays[f"r0 {name}"]
+    p.until("it has swept", lambda: ordered(p, fence))
+    relay.reset()
+    relay.cut()
+    p.kill("edge0")
+    p.until("its order lies in a socket", lambda: relay.held)
+    p.send(name, signal.SIGSTOP)
+    _, later = other_owner(p, name)
+    p.until("the next owner orders", lambda: ordered(p, later))
+    p.kill("r0")
+    p.engine("r0", "read", port=p.ports["r0"])
+    seen = len(p.lines("r0"))
+    relay.mend()
+    p.until("the old order arrives", lambda: any(row["ev"] == "order" and row["fence"] == fence
+                                                 for row in p.lines("r0")[seen:]))
+    checked(p)
+
+
+def handing_over_on_purpose_takes_less_than_a_tenth_of_a_second(p: Processes) -> None:
+    name, fence = ready(p)
+    p.send(name, signal.SIGTERM)
+    assert p.children[name].wait(p.world.now_us() + 5 * S) == 0
+    other, later = other_owner(p, name)
+    rows = [row for row in p.lines("store") if row["ev"] == "call" and row["path"] == "/v3/kv/txn"]
+    ends = [row["t"] for row in rows
+            if "request_delete_range" in str(row["call"]) and row["answer"].get("succeeded")]
+    takes = [row["t"] for row in rows if int(row["answer"]["header"]["revision"]) == later]
+    assert any(0 <= takes[0] - end < 100_000 for end in ends), (ends, takes)
+    checked(p)
+
+
+def clocks_are_told(p: Processes) -> None:
+    ready(p, 1)
+    p.until("clocks are told", lambda: p.rows("clocks"))
+
+
+SCENARIOS: list[Callable[[Processes], None]] = [
+    an_edge_that_is_killed_leaves_nothing_behind,
+    an_owner_that_was_stopped_wakes_up_late_and_does_no_harm,
+    an_owner_cut_off_from_the_store_alone_stops_by_itself,
+    an_edge_cut_off_from_the_store_keeps_what_it_holds,
+    a_stopped_edge_is_not_taken_for_a_dead_one,
+    answers_lost_at_the_take_over,
+    leases_that_end_early,
+    two_processes_of_one_configuration_are_one_member,
+    a_store_that_is_away_and_comes_back_older_is_refused,
+    all_stewards_killed_at_once,
+    an_edge_lives_while_another_dies,
+    all_but_the_owner_race,
+    an_engine_that_was_restarted_refuses_an_old_order,
+    handing_over_on_purpose_takes_less_than_a_tenth_of_a_second]
--- /dev/null
+++ b/tests/planted_fleet.py
@@ -0,0 +1,111 @@
+"""Mistakes to plant into the programs of a fleet: `python -m tests.planted_fleet NAME ARGUMENTS...` runs with one."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from yardspindle.core.fleet import ownership, spread
+from yardspindle.core.fleet.fences import Fences
+from yardspindle.core.fleet.kv import Txn
+from yardspindle.core.fleet.members import Keys
+from yardspindle.core.fleet.sweep import Answer, Fates
+from yardspindle.fleet.store.gateway import Gateway
+from yardspindle.lab.engine_holds import Holds
+from yardspindle.steward import app, sweep
+
+PLANTS: dict[str, Callable[[], None]] = {}
+
+
+def plant(function: Callable[[], None]) -> Callable[[], None]:
+    PLANTS[function.__name__] = function
+    return function
+
+
+def _swap(owner: Any, name: str, wrap: Callable[[Any], Any]) -> None:
+    setattr(owner, name, wrap(getattr(owner, name)))
+
+
+def _no_compare(make: Callable[..., Txn]) -> Callable[..., Txn]:
+    return lambda *arguments: replace(make(*arguments), compare=())
+
+
+@plant
+def a_duty_is_taken_without_looking() -> None:
+    _swap(Keys, "take", _no_compare)
+    _swap(spread, "shares", lambda real: lambda free, holders, names: {
+        duty: sorted(order, key=lambda name: name != _me[0]) for duty, order in real(free, holders, names).items()})
+    _swap(app.Steward, "__init__", _remember_name)
+
+
+_me = [""]
+
+
+def _remember_name(real: Callable[..., None]) -> Callable[..., None]:
+    def init(self: app.Steward, *arguments: Any) -> None:
+        real(self, *arguments)
+        _me[0] = self.name
+    return init
+
+
+@plant
+def a_duty_is_handed_over_without_the_fence() -> None:
+    _swap(Keys, "hand_over", _no_compare)
+
+
+@plant
+def the_fleet_is_written_to_without_the_fence() -> None:
+    _swap(Keys, "under", _no_compare)
+
+
+@plant
+def an_engine_obeys_any_fence() -> None:
+    _swap(Fences, "admits", lambda real: lambda self, duty, fence: real(self, duty, fence) or True)
+
+
+@plant
+def an_engine_forgets_its_fences() -> None:
+    _swap(Holds, "_known_fences", lambda real: lambda self: {})
+
+
+@plant
+def an_ended_lease_is_taken_for_a_death() -> None:
+    _swap(Fates, "asked", lambda real: lambda self, now, epoch, answer, found: real(
+        self, now, epoch, Answer.REFUSED, ""))
+
+
+@plant
+def silence_is_taken_for_a_death() -> None:
+    _swap(Fates, "asked", lambda real: lambda self, now, epoch, answer, found: real(
+        self, now, epoch, Answer.REFUSED if answer is Answer.SILENT else answer, found))
+
+
+@plant
+def everybodys_holds_are_let_go_of() -> None:
+    _swap(sweep, "to_release", lambda real: lambda holds, gone: list(holds))
+
+
+@plant
+def a_fence_is_guessed() -> None:
+    """The revision of the answer, not the one that made the key; a take after a lost answer is believed in."""
+    _swap(app, "holder", lambda real: lambda row: replace(real(row), fence=row.create + 1))
+
+
+@plant
+def a_store_that_went_back_is_used() -> None:
+    _swap(Gateway, "_check", lambda real: lambda self, before, header: None)
+    _swap(ownership, "step", lambda real: lambda state, now, event: real(
+        replace(state, seen=ownership.Seen()) if isinstance(event, ownership.Told) else state, now, event))
+
+
+def main() -> None:
+    from yardspindle.cli.main import main as program
+    PLANTS[sys.argv.pop(1)]()
+    program()
+
+
+if __name__ == "__main__":
+    main()
+
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -38,12 +38,14 @@
         self.relays: dict[str, Relay] = {}
         self.ports: dict[str, int] = {}
         self.boxes: dict[str, tuple[str, int]] = {}  # engine: role, cell
+        self.plant = ""  # a mistake that every program runs with
 
     # --- starting
 
     def child(self, name: str, *arguments: str) -> str:
         """Start a program; gives its ready line."""
-        argv = [sys.executable, "-m", "yardspindle", *arguments]
+        run = ["tests.planted_fleet", self.plant] if self.plant else ["yardspindle"]
+        argv = [sys.executable, "-m", *run, *arguments]
         self.children[name] = Child(self.world, name, argv, str(self.folder / f"{name}.log"))
         return self.children[name].first_line(READY_US)
 
@@ -65,15 +67,14 @@
         self.ports[name] = int(ready.split()[1].split("//")[1].split("/")[0].rpartition(":")[2])
         self.boxes[name] = (role, cell)
 
-    def lists(self) -> None:
-        """Two lists of the same engines: the dispatchers' straight, the stewards' through relays."""
-        for file, by_relay in (("servers.toml", False), ("swept.toml", True)):
-            rows = [f"count = {len(self.boxes)}"]
-            for name, (role, cell) in self.boxes.items():
-                port = self.relay(f"engine {name}", self.ports[name]).port if by_relay else self.ports[name]
-                rows += ["[[servers]]", f'name = "{name}"', f'address = "127.0.0.1:{port}"',
-                         f'kind = "{"reader" if role == "read" else "writer"}"', f"cell = {cell}", "places = true"]
-            (self.folder / file).write_text("\n".join(rows) + "\n")
+    def lists(self, steward: str = "") -> None:
+        """The list of engines: the dispatchers' straight, a steward's with a relay of its own to each."""
+        rows = [f"count = {len(self.boxes)}"]
+        for name, (role, cell) in self.boxes.items():
+            port = self.relay(f"{name} {steward}", self.ports[name]).port if steward else self.ports[name]
+            rows += ["[[servers]]", f'name = "{name}"', f'address = "127.0.0.1:{port}"',
+                     f'kind = "{"reader" if role == "read" else "writer"}"', f"cell = {cell}", "places = true"]
+        (self.folder / f"servers{steward}.toml").write_text("\n".join(rows) + "\n")
 
     def config(self, name: str, **sections: Any) -> str:
         relay = self.relay(f"store {name}", self.ports["store"])
@@ -84,7 +85,8 @@
         return str(file)
 
     def steward(self, name: str) -> None:
-        self.child(name, "steward", self.config(name, planner={"servers": str(self.folder / "swept.toml")}))
+        self.lists(name)
+        self.child(name, "steward", self.config(name, planner={"servers": str(self.folder / f"servers{name}.toml")}))
 
     def dispatcher(self, number: int, dispatchers: int = 1) -> None:
         planner = {"servers": str(self.folder / "servers.toml"),
@@ -193,12 +195,13 @@
         return [row["id"] for row in json.loads(data)["holds"]]
 
 
-def play(folder: Path, test: Callable[[Processes], None], ttl_ms: int = TTL_MS) -> None:
+def play(folder: Path, test: Callable[[Processes], None], ttl_ms: int = TTL_MS, plant: str = "") -> None:
     """Run a test with its programs, and end every one of them."""
     world = RealWorld(seed=3)
 
     def program() -> None:
         processes = Processes(world, folder, ttl_ms)
+        processes.plant = plant
         try:
             test(processes)
         finally:
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -17,6 +17,7 @@
         self.mended: Signal = world.signal()
         self.streams: dict[Stream, None] = {}
         self.connections = 0
+        self.held = 0  # pieces that a cut has held up so far
         self.listener: Listener = world.listen("127.0.0.1", 0)
         self.port = self.listener.port
         world.spawn("relay", self._accept, self.listener)
@@ -63,8 +64,10 @@
     def _connection(self, near: Stream) -> None:
         self.streams[near] = None
         try:
+            first = near.read()  # clients speak first
             self._gate("there")
             far = self.world.connect(*self.target, self.world.now_us() + 2_000_000)
+            far.write(first)
         except (ConnectError, StreamError):
             near.abort()
             self.streams.pop(near, None)
@@ -74,6 +77,7 @@
         self.world.spawn("relay back", self._pass, far, near, "back")
 
     def _gate(self, way: str) -> None:
+        self.held += not self.passes[way]
         while not self.passes[way]:
             self.mended.wait()
 
--- /dev/null
+++ b/tests/test_fleet_faults.py
@@ -0,0 +1,16 @@
+"""Several real programs, relays between them, and faults: one owner at a time, and nothing of a living edge let go."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from tests.fleet_scenarios import SCENARIOS
+from tests.processes import Processes, play
+
+
+@pytest.mark.parametrize("scenario", SCENARIOS, ids=lambda scenario: scenario.__name__)
+def test_with_the_real_programs(tmp_path: Path, scenario: Callable[[Processes], None]) -> None:
+    play(tmp_path, scenario)
--- a/yardspindle/lab/engine.py
+++ b/yardspindle/lab/engine.py
@@ -91,7 +91,7 @@
         if head.method == b"DELETE" and self.set.places:
             return self._let_go(head)
         if head.method == b"GET" and target == HOLDS and self.set.holds:
-            return self._told()
+            return self._told(head)
         if head.method != b"POST":
             return ApiError(405, "method_not_allowed", "POST only.").reply()
         if target in (COMPLETIONS, CONTROL) or target.startswith(FETCH) or (target == PLACES and self.set.places):
--- a/yardspindle/lab/engine_holds.py
+++ b/yardspindle/lab/engine_holds.py
@@ -1,8 +1,8 @@
 """What a stand-in engine holds for others: states, places, their releases and ends; and whose orders it obeys.
 
-Two extensions beside the edge's own releases: `GET /v1/yardspindle/holds` tells every hold with its id, and a release
-may come from somebody who acts for the fleet; it then names its duty and carries its fence, and one with a lower
-fence than the highest met is turned away with 409 `stale_fence`. Fences outlast the process in a file.
+Two extensions beside the edge's own releases: `GET /v1/yardspindle/holds` tells every hold with its id, and both this
+and a release may come from somebody who acts for the fleet; they then name the duty and carry its fence, and one with
+a lower fence than the highest met is turned away with 409 `stale_fence`. Fences outlast the process in a file.
 """
 
 from __future__ import annotations
@@ -63,21 +63,30 @@
 
     # --- routes
 
-    def _told(self) -> Reply:
+    def _obeyed(self, head: http1.RequestHead) -> Reply | None:
+        """The answer to an order with too low a fence; None for one that is obeyed, or that carries none."""
+        fence = head.get(FENCE_HEADER)
+        if fence is None:
+            return None
+        duty, number = (head.get(DUTY_HEADER) or b"").decode(), int(fence) if fence.isdigit() else 0
+        before = self.fences.highest.get(duty, 0)
+        admitted = self.fences.admits(duty, number)
+        self.note("order", head.target.rpartition(b"/")[2].decode(), duty=duty, fence=number, admitted=admitted)
+        if not admitted:
+            return ApiError(409, "stale_fence", f"The fence in force is {before}.").reply()
+        if self.set.fences and number > before:
+            self.world.append_file(self.set.fences, msgspec.json.encode((duty, number)) + b"\n")
+        return None
+
+    def _told(self, head: http1.RequestHead) -> Reply:
+        if (refused := self._obeyed(head)) is not None:
+            return refused
         rows = [HoldRow(name, "state") for name in self.states] + [HoldRow(name, "place") for name in self.places]
         return Reply(200, [JSON], msgspec.json.encode(HoldsAnswer(rows)))
 
     def _let_go(self, head: http1.RequestHead) -> Reply:
-        duty, fence = (head.get(DUTY_HEADER) or b"").decode(), head.get(FENCE_HEADER)
-        if fence is not None:
-            number = int(fence) if fence.isdigit() else 0
-            before = self.fences.highest.get(duty, 0)
-            admitted = self.fences.admits(duty, number)
-            self.note("order", head.target.rpartition(b"/")[2].decode(), duty=duty, fence=number, admitted=admitted)
-            if not admitted:
-                return ApiError(409, "stale_fence", f"The fence in force is {before}.").reply()
-            if self.set.fences and number > before:
-                self.world.append_file(self.set.fences, msgspec.json.encode((duty, number)) + b"\n")
+        if (refused := self._obeyed(head)) is not None:
+            return refused
         for root, held in ((STATES, self.states), (PLACES, self.places)):
             if head.target.startswith(root + b"/"):
                 self._release(held, head.target[len(root) + 1:].decode())
--- a/yardspindle/steward/sweep.py
+++ b/yardspindle/steward/sweep.py
@@ -59,7 +59,8 @@
                     if epoch not in self._asking:
                         self._asking.add(epoch)
                         tasks.append(self._world.spawn("ask a page", self._ask, epoch, member))
-                if self._fates.gone() and now >= self._fates.sweep_us(now, self._swept_us):
+                # The first time at once, whether or not anybody is gone: engines then refuse earlier owners.
+                if not self._swept_us or self._fates.gone() and now >= self._fates.sweep_us(now, self._swept_us):
                     self._swept_us = now
                     for server in self._roster.addresses():
                         if self._of_cell(server) and server.name not in self._without | self._busy:
@@ -83,39 +84,49 @@
             found = word.member.epoch if word is not None else ""
             if self._fates.asked(self._world.now_us(), epoch, answer, found):
                 log.info("an edge is gone for good", edge=member.name, epoch=epoch, proof=answer.value)
-                self._swept_us = 0
+                self._swept_us = 0  # sweep at once
         finally:
             self._asking.discard(epoch)
 
     def _sweep(self, server: Server) -> None:
         self._turns.put(None)
         try:
+            if (headers := self._headers()) is None:
+                return
             with self._world.deadline(self._world.now_us() + CALL_US):
-                status, data = self._call(server, b"GET", vllm.HOLDS, [])
+                status, data = self._call(server, b"GET", vllm.HOLDS, headers)
+            if status == 409:
+                log.warning("an engine has met a higher fence", engine=server.name)
+                return
             if status in (404, 405):
                 log.info("engine without the extension: its holds end by themselves", engine=server.name)
                 self._without.add(server.name)
                 return
             holds = [row.id for row in msgspec.json.decode(data, type=vllm.HoldsAnswer).holds]
             for hold in to_release(holds, self._fates.gone()):
-                fence = self._act()
-                if fence is None:
-                    return
-                with self._world.deadline(self._world.now_us() + CALL_US):
-                    for root in (vllm.STATES, vllm.PLACES):
-                        headers = [(vllm.DUTY_HEADER, self._duty.encode()), (vllm.FENCE_HEADER, str(fence).encode())]
+                for root in (vllm.STATES, vllm.PLACES):
+                    if (headers := self._headers()) is None:
+                        return
+                    with self._world.deadline(self._world.now_us() + CALL_US):
                         status, _ = self._call(server, b"DELETE", root + b"/" + hold.encode(), headers)
-                if status == 409:
-                    log.warning("an engine has met a higher fence", engine=server.name, fence=fence)
-                    return
+                    if status == 409:
+                        log.warning("an engine has met a higher fence", engine=server.name)
+                        return
                 self.released += 1
-                log.info("let go of what an edge left", engine=server.name, hold=hold, fence=fence)
+                log.info("let go of what an edge left", engine=server.name, hold=hold)
         except (ConnectError, ExchangeBroken, DeadlineExceeded, msgspec.DecodeError) as error:
             log.info("engine not swept", engine=server.name, reason=str(error) or "no answer in time")
         finally:
             self._turns.get()
             self._busy.discard(server.name)
 
+    def _headers(self) -> http1.Headers | None:
+        """The fence to order with, looked at anew before each order; None when it is not ours any more."""
+        fence = self._act()
+        if fence is None:
+            return None
+        return [(vllm.DUTY_HEADER, self._duty.encode()), (vllm.FENCE_HEADER, str(fence).encode())]
+
     def _call(self, server: Server, method: bytes, target: bytes, headers: http1.Headers) -> tuple[int, bytes]:
         response = self._http.request(server.host, server.port, method, target, headers)
         try:
