Play seeded worlds of stewards and their faults; a watch that stands is no proof

At every look no engine obeys a lower fence after a higher one, nothing of a living edge is let go of, and no two may act for a duty; at the end each duty has one owner and nothing of a dead edge is held.

It found a real fault in its first 20 worlds: the first answer of a watch says how far the store is, and the view took it for how far the watch was, passing over what lay between; a dead edge was then never seen to be gone.

--- a/tests/test_run_alone.py
+++ b/tests/test_run_alone.py
@@ -7,8 +7,9 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-SHARED = ("yardspindle.fleet", "yardspindle.steward", "yardspindle.unit", "yardspindle.record", "yardspindle.core.fleet",
-          "yardspindle.runtime.database", "yardspindle.lab", "yardspindle.edge", "yardspindle.planner", "sqlite3")
+SHARED = ("yardspindle.fleet", "yardspindle.steward", "yardspindle.unit", "yardspindle.record",
+          "yardspindle.core.fleet", "yardspindle.runtime.database", "yardspindle.lab", "yardspindle.edge",
+          "yardspindle.planner", "sqlite3")
 
 
 def test_run_imports_nothing_that_processes_share() -> None:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -27,6 +27,7 @@
     prefix_end,
 )
 from yardspindle.core.fleet.kv_model import Model
+from yardspindle.core.fleet.members import Keys, View
 from yardspindle.fleet.store.embedded import EmbeddedStore
 from yardspindle.fleet.store.gateway import Gateway
 from yardspindle.fleet.store.interface import Granted, Kept, NotDone, Store, StoreError, Unknown, WatchBroken, WentBack
@@ -337,6 +338,23 @@
     with_stand_in(test)
 
 
+def test_that_a_watch_stands_does_not_say_that_nothing_was_missed() -> None:
+    """Found by a seeded world: a view that took it so passed over what had changed since it was read."""
+    def test(world: RealWorld, stand_in: EtcdStandIn, store: Gateway) -> None:
+        keys = Keys("f")
+        view = View(keys)
+        rows = store.range(keys.root, prefix_end(keys.root))
+        view.reset(rows.revision, rows.rows)
+        store.txn(put(keys.members + b"edge/e", b'{"name":"e","kind":"edge","epoch":"1"}'))
+        watch = store.watch(keys.root, prefix_end(keys.root), rows.revision + 1)
+        with world.deadline(world.now_us() + 5 * S):
+            while "edge/e" not in view.members:
+                changes = watch.next()
+                view.change(changes.revision, changes.changes)
+
+    with_stand_in(test)
+
+
 # --- the file
 
 def test_a_file_that_is_not_ours_is_left_as_it_is(tmp_path: Path) -> None:
--- a/yardspindle/fleet/store/gateway.py
+++ b/yardspindle/fleet/store/gateway.py
@@ -220,7 +220,8 @@
             if reply.canceled:
                 raise WatchBroken(reply.cancel_reason or "cancelled")
             self._gateway._check(0, reply.header)
-            return j.changes_in(reply)
+            # That a watch stands says how far the store is, not how far the watch: what lies before is still to come.
+            return Changes(0) if reply.created else j.changes_in(reply)
 
     def _piece(self) -> bytes:
         try:
--- a/yardspindle/lab/etcd.py
+++ b/yardspindle/lab/etcd.py
@@ -227,6 +227,10 @@
 
     # --- faults
 
+    def command(self, do: str) -> None:
+        """A fault by its name, for a run that holds the stand-in itself."""
+        self._control(msgspec.convert({"do": do}, Control))
+
     def _control(self, control: Control) -> None:
         self.note("control", do=control.do)
         match control.do:
@@ -242,7 +246,7 @@
                 for lease in list(self.model.leases):
                     self.model.revoke(lease)
                 self._tell()
-            case "compact":
+            case "compact" if self.model.revision > self.model.compacted:
                 self.model.compact(self.model.revision)
             case "mark":
                 self.marked = self.model.copy()
@@ -252,8 +256,10 @@
                 self._break()
             case "stale_reads":
                 self.stale_reads = control.on
-            case _:
+            case "break_watches":
                 self._break()
+            case _:
+                pass
 
     def _break(self) -> None:
         for follower in self.followers:
--- /dev/null
+++ b/yardspindle/lab/fleet_worlds.py
@@ -0,0 +1,320 @@
+"""Seeded worlds of the processes that act for a fleet: store, stewards, dispatchers and engines on the virtual World.
+
+The programs are those that run on sockets. Faults are drawn between all of them. At every look: no engine obeys a
+lower fence after a higher one, nothing is let go of for an edge that lives, and (while no clock stepped and no lease
+ended early) no two stewards may act for one duty. After the last fault every duty has one owner again, and nothing is
+held for an edge that is gone.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from yardspindle.core.config import Config, parse
+from yardspindle.core.fleet.sweep import epoch_of
+from yardspindle.edge.app import Edge
+from yardspindle.fleet.store.interface import StoreError
+from yardspindle.fleet.store.open import open_store
+from yardspindle.lab.clients import ClientClass, Clients, Habits, draw
+from yardspindle.lab.engine import Engine
+from yardspindle.lab.engine_settings import EngineSettings
+from yardspindle.lab.etcd import EtcdStandIn
+from yardspindle.lab.fleet import Box, server_list, to_toml
+from yardspindle.planner.app import Planner
+from yardspindle.runtime.virtual import Simulation, VirtualWorld
+from yardspindle.steward.app import Steward
+
+HOST, STORE, SERVERS = "127.0.0.1", "store", "servers.toml"
+STEWARDS, EDGES, BOXES = ("s0", "s1", "s2"), ("edge0", "edge1"), ("r0", "w0", "r1", "w1")
+TTL_MS = 2_000.0
+LOOK_US = 20_000
+HOLDING_US = 4_000_000  # how long an edge that is to die with something held is waited for
+SPAN_MS = 12_000  # in which faults begin
+SETTLED_US = 100_000_000  # after the last fault: a clock set back a minute stands still so long; pauses double
+QUESTION = ClientClass("chat", 1.0, 4_000.0, 12)
+HABITS = Habits(hang_up=0.1, stop_reading=0.0, retries=0, openings=2, opening_words=10, words=10)
+# kind: (on, other, shortest ms, longest ms)
+KINDS: dict[str, tuple[tuple[str, ...], tuple[str, ...], int, int]] = {
+    "dies": (STEWARDS + EDGES, (), 50, 5_000), "dies holding": (EDGES, (), 50, 6_000),
+    "stalls": (STEWARDS + EDGES, (), 50, 7_000),
+    "steps": (STEWARDS, (), 0, 0), "cut": (STEWARDS + EDGES, (STORE, *BOXES), 50, 6_000),
+    "deaf": (STEWARDS + EDGES, (STORE,), 50, 6_000), "engine dies": (BOXES, (), 50, 3_000),
+    "engine hangs": (BOXES, (), 500, 6_000), "no leader": ((STORE,), (), 50, 6_000), "late": ((STORE,), (), 50, 4_000),
+    "lost answers": ((STORE,), (), 0, 0), "leases end": ((STORE,), (), 0, 0), "watches break": ((STORE,), (), 0, 0),
+    "compaction": ((STORE,), (), 0, 0), "leaves": (STEWARDS, (), 200, 3_000)}
+
+
+class FleetFault(Struct, frozen=True):
+    """Something that goes wrong."""
+
+    kind: str
+    on: str
+    other: str
+    at_ms: int
+    for_ms: int
+
+
+class FleetScript(Struct, frozen=True):
+    """All that a world depends on."""
+
+    seed: int
+    faults: tuple[FleetFault, ...]
+    requests: tuple[int, ...]  # when each comes, ms
+
+
+def draw_fleet(seed: int) -> FleetScript:
+    """A script."""
+    rng = random.Random(f"fleet {seed}")
+    faults = []
+    for _ in range(rng.randint(2, 7)):
+        kind = rng.choice(sorted(KINDS))
+        on, other, least, most = KINDS[kind]
+        faults.append(FleetFault(kind, rng.choice(on), rng.choice(other) if other else "",
+                                 rng.randrange(SPAN_MS), rng.randint(least, most)))
+    return FleetScript(seed, tuple(sorted(faults, key=lambda row: row.at_ms)),
+                       tuple(sorted(rng.randrange(SPAN_MS) for _ in range(rng.randint(8, 24)))))
+
+
+class NotingEngine(Engine):
+    """Tells the run of each order, at once."""
+
+    on_order: Callable[[str, dict[str, Any]], None]
+
+    def note(self, event: str, request: str = "", **more: object) -> None:
+        """See Engine."""
+        if event == "order":
+            self.on_order(self.set.name, {"id": request, **more})
+
+
+class FleetWorld:
+    """One run."""
+
+    def __init__(self, script: FleetScript) -> None:
+        """Nothing has started."""
+        self.script = script
+        self.sim = Simulation(script.seed)
+        self.found: list[str] = []
+        self.counts: Counter[str] = Counter()
+        self.stewards: dict[str, Steward] = {}
+        self.edges: dict[str, Edge] = {}
+        self.engines: dict[str, NotingEngine] = {}
+        self.boxes: dict[str, Box] = {}
+        self.ports: dict[str, int] = {}
+        self._highest: dict[tuple[str, str], int] = defaultdict(int)
+        self._unsure = any(fault.kind in ("steps", "leases end") for fault in script.faults)
+
+    def play(self) -> tuple[str, ...]:
+        """What broke."""
+        try:
+            self.sim.run("fleet world", self._program)
+        except RuntimeError as error:
+            self.found.append(f"liveness: {error}")
+        return tuple(dict.fromkeys([*self.found, *(f"crash: {text}" for text in self.sim.crashes)]))
+
+    # --- programs
+
+    def _program(self) -> None:
+        sim = self.sim
+        self.etcd = EtcdStandIn(sim.program(STORE))
+        _, self.ports[STORE] = self.etcd.start(HOST, sim.next_port())
+        for name in BOXES:
+            role, kind = ("read", "reader") if name[0] == "r" else ("write", "writer")
+            settings = msgspec.convert({"name": name, "role": role, "hold_ms": 600_000.0, "fences": f"{name}.fences",
+                                        "read_tokens_per_s": 300.0}, EngineSettings)
+            self.boxes[name] = Box(settings, int(name[1]), kind)
+            self.start(name)
+        sim.files[SERVERS] = server_list(list(self.boxes.values())).encode()
+        planner = Planner(sim.program("planner"), self._config("planner", {}))
+        _, self.ports["planner"] = planner.start()
+        for name in EDGES + STEWARDS:
+            self.start(name)
+        sim.scheduler.sleep_until(sim.now_us() + 1_000_000)
+        started = sim.now_us()
+        watch = sim.scheduler.spawn("rules", self._rules)
+        clients = Clients(sim.program("clients"), "yardspindle-demo", lambda line: None, HABITS)
+        tasks = [sim.scheduler.spawn("fault", self._fault, fault, started) for fault in self.script.faults]
+        for number, at_ms in enumerate(self.script.requests):
+            plan = draw(sim.random(f"client {number}"), number, (QUESTION,), HABITS)
+            tasks.append(sim.scheduler.spawn("client", self._ask, clients, plan, started + at_ms * 1_000))
+        for task in tasks:
+            task.join()
+        self._settled()
+        watch.cancel()
+        clients.close()
+
+    def _ask(self, clients: Clients, plan: Any, at_us: int) -> None:
+        self.sim.scheduler.sleep_until(at_us)
+        clients.request(plan, [(HOST, self.ports[name]) for name in EDGES])
+
+    def _config(self, name: str, sections: dict[str, Any]) -> Config:
+        fleet = {"store": [f"http://{HOST}:{self.ports[STORE]}"], "ttl_ms": TTL_MS, "margin_ms": 200.0,
+                 "call_ms": 400.0, "member": name}
+        return parse("world", to_toml({
+            "classes": [{"name": "chat", "aim_ms": 1_000, "give_up_ms": 4_000}], "fleet": fleet,
+            "index": {"mode": "off"},
+            "planner": {"servers": SERVERS, "listen": f"{HOST}:{self.ports.get('planner', 0)}"}, **sections}))
+
+    def start(self, name: str) -> None:
+        """Start a program where it was."""
+        world = self.sim.program(name)
+        if name in BOXES:
+            engine = self.engines[name] = NotingEngine(world, self.boxes[name].settings)
+            engine.on_order = self._ordered
+            _, self.boxes[name].port = engine.start(HOST, self.boxes[name].port)
+        elif name in EDGES:
+            self.ports.setdefault(name, self.sim.next_port())
+            edge = {"planner": f"{HOST}:{self.ports['planner']}", "listen": f"{HOST}:{self.ports[name]}",
+                    "number": EDGES.index(name), "dispatchers": len(EDGES)}
+            self.edges[name] = Edge(world, self._config(name, {"edge": edge}))
+            world.spawn("program", self.edges[name].start)
+        else:
+            config = self._config(name, {})
+            try:
+                self.stewards[name] = Steward(world, config, open_store(world, config.fleet), "world")
+            except StoreError as error:
+                self.found.append(f"start: {name}: {error}")
+                return
+            self.stewards[name].start()
+
+    def world(self, name: str) -> VirtualWorld:
+        """A program's World."""
+        return self.sim.programs[name]
+
+    # --- faults
+
+    def _fault(self, fault: FleetFault, started: int) -> None:
+        sim, on = self.sim, fault.on
+        sim.scheduler.sleep_until(started + fault.at_ms * 1_000)
+        undo = self._happens(fault)
+        sim.scheduler.sleep_until(sim.now_us() + fault.for_ms * 1_000)
+        if undo is not None:
+            undo()
+        self.counts[f"{fault.kind} {on[:-1] if on != STORE else on}"] += 1
+
+    def _happens(self, fault: FleetFault) -> Callable[[], None] | None:
+        on, network, etcd = fault.on, self.sim.network, self.etcd
+        world = self.world(on)
+        match fault.kind:
+            case "dies" | "engine dies" if world.alive:
+                world.kill()
+                return lambda: None if self.world(on).alive else self.start(on)
+            case "dies holding" if world.alive and not world.gate.shut:
+                epoch, until_us = self.edges[on].unique, self.sim.now_us() + HOLDING_US
+                while self.sim.now_us() < until_us and not any(epoch_of(hold) == epoch for hold in self.holds()):
+                    self.sim.scheduler.sleep_until(self.sim.now_us() + 2_000)
+                world.kill()
+                return lambda: None if self.world(on).alive else self.start(on)
+            case "stalls" if world.alive and not world.gate.shut:
+                world.stall()
+                return world.resume
+            case "steps":
+                world.step(60_000_000 if fault.at_ms % 2 else -60_000_000)
+            case "cut" | "deaf":
+                ways = [(fault.other, on)] if fault.kind == "deaf" else [(fault.other, on), (on, fault.other)]
+                for way in ways:
+                    network.cut(*way)
+
+                def join() -> None:
+                    for way in ways:
+                        network.join(*way)
+
+                return join
+            case "engine hangs" if world.alive and self.engines[on].hung is None:
+                engine = self.engines[on]
+                engine.hung = hung = world.signal()
+
+                def wake() -> None:
+                    if world.alive:
+                        engine.hung = None
+                        hung.set()
+
+                return wake
+            case "no leader":
+                etcd.leaderless = True
+                return lambda: setattr(etcd, "leaderless", False)
+            case "late":
+                etcd.late_us = 300_000
+                return lambda: setattr(etcd, "late_us", 0)
+            case "lost answers":
+                etcd.lose += 3
+            case "leases end" | "watches break" | "compaction":
+                do = {"leases end": b"expire", "watches break": b"break_watches", "compaction": b"compact"}[fault.kind]
+                etcd.command(do.decode())
+            case "leaves" if world.alive and not world.gate.shut:
+                world.spawn("leave", self.stewards[on].leave)
+
+                def again() -> None:
+                    world.kill()
+                    self.start(on)
+
+                return again
+        return None
+
+    # --- rules
+
+    def _ordered(self, engine: str, order: dict[str, Any]) -> None:
+        """An engine got an order that carries a fence."""
+        at = (engine, order["duty"])
+        if not order["admitted"]:
+            self.counts["orders refused"] += 1
+            return
+        if order["fence"] < self._highest[at]:
+            self.found.append(f"fence: {engine} obeyed {order['fence']} of {order['duty']} after {self._highest[at]}")
+        self._highest[at] = max(self._highest[at], order["fence"])
+        if order["id"] == "holds":
+            return
+        self.counts["holds let go of"] += 1
+        epoch = epoch_of(order["id"])
+        if any(edge.unique == epoch and self.world(name).alive for name, edge in self.edges.items()):
+            self.found.append(f"sweep: {engine} let go of {order['id']}, whose edge lives")
+
+    def holds(self) -> list[str]:
+        """All that engines hold."""
+        return [hold for engine in self.engines.values() for hold in (*engine.states, *engine.places)]
+
+    def owners(self) -> dict[str, list[str]]:
+        """Who may act for which duty, by each one's own reckoning now."""
+        found: dict[str, list[str]] = {}
+        for name, steward in self.stewards.items():
+            if self.world(name).alive:
+                for duty, _ in steward.state.held:
+                    if steward.act(duty) is not None:
+                        found.setdefault(duty, []).append(name)
+        return found
+
+    def _rules(self) -> None:
+        while True:
+            self.sim.scheduler.sleep_until(self.sim.now_us() + LOOK_US)
+            if not self._unsure:
+                self.found += [f"owners: {duty} has {', '.join(names)}" for duty, names in self.owners().items()
+                               if len(names) > 1]
+
+    def _settled(self) -> None:
+        """Every duty has one owner who works, and nothing is held for an edge that is gone."""
+        sim, until_us = self.sim, self.sim.now_us() + SETTLED_US
+        wanted = {"clock", "sweep/0", "sweep/1"}
+        while True:
+            living = {edge.unique for name, edge in self.edges.items() if self.world(name).alive}
+            left = [hold for hold in self.holds() if epoch_of(hold) not in living]
+            owners = self.owners()
+            idle = [duty for duty in wanted if len(owners.get(duty, [])) != 1
+                    or duty not in self.stewards[owners[duty][0]].workers]
+            if not left and not idle:
+                return
+            if sim.now_us() > until_us:
+                self.found += [f"liveness: {duty} is owned by {owners.get(duty)}" for duty in idle]
+                self.found += [f"liveness: {len(left)} holds of edges that are gone" for _ in left[:1]]
+                return
+            sim.scheduler.sleep_until(sim.now_us() + LOOK_US)
+
+
+def play_fleet(script: FleetScript) -> tuple[tuple[str, ...], Counter[str]]:
+    """What broke in a world, and what it met."""
+    world = FleetWorld(script)
+    return world.play(), world.counts
