--- /dev/null
+++ b/benchmarks/ownership.py
@@ -0,0 +1,197 @@
+"""What owning costs: time without an owner by fault, store calls by fleet size, a dead edge's holds, a store away.
+
+All on the virtual World, with the programs as they run on sockets: virtual times and counts, so that no machine's
+speed is in them.
+
+    python -m benchmarks.ownership [RUNS]
+"""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+from yardspindle.core.config import parse
+from yardspindle.core.fleet.sweep import epoch_of
+from yardspindle.fleet.membership import join
+from yardspindle.fleet.store.open import open_store
+from yardspindle.lab.etcd import EtcdStandIn
+from yardspindle.lab.fleet import to_toml
+from yardspindle.lab.fleet_worlds import FleetFault, FleetScript, FleetWorld
+from yardspindle.runtime.virtual import Simulation
+from yardspindle.steward.app import Steward
+
+S = 1_000_000
+TTL_MS = 2_000
+HOST = "127.0.0.1"
+
+
+class Stewards:
+    """A store and stewards, with duties of their own and no engines."""
+
+    def __init__(self, seed: int, stewards: int, cells: int, members: int = 0) -> None:
+        self.sim = Simulation(seed)
+        self.etcd = EtcdStandIn(self.sim.program("store"))
+        self.calls: Counter[str] = Counter()
+        self.etcd.note = lambda event, **more: self.calls.update([str(more.get("path", event))])  # type: ignore
+        self.stewards: dict[str, Steward] = {}
+        self.names = [f"s{n}" for n in range(stewards)]
+        self.cells, self.members = cells, members
+
+    def start(self) -> None:
+        _, port = self.etcd.start(HOST, self.sim.next_port())
+        rows = [f"count = {self.cells}"]
+        for n in range(self.cells):
+            rows += ["[[servers]]", f'name = "r{n}"', f'address = "{HOST}:{1 + n}"', 'kind = "reader"', f"cell = {n}"]
+        self.sim.files["servers.toml"] = "\n".join(rows).encode()
+
+        def config(name: str) -> Any:
+            return parse("bench", to_toml({
+                "planner": {"servers": "servers.toml", "reread_ms": 5_000}, "fleet": {
+                    "store": [f"http://{HOST}:{port}"], "ttl_ms": TTL_MS, "margin_ms": 200, "call_ms": 400,
+                    "member": name}}))
+
+        for name in self.names:
+            world = self.sim.program(name)
+            self.stewards[name] = Steward(world, config(name), open_store(world, config(name).fleet), "bench")
+            self.stewards[name].start()
+        for n in range(self.members):
+            world = self.sim.program(f"m{n}")
+            world.spawn("join", join, world, config(f"m{n}").fleet, "edge", f"m{n}", f"epoch{n}", "z", "bench")
+
+    def owner(self, duty: str) -> str | None:
+        for name, steward in self.stewards.items():
+            world = self.sim.programs[name]
+            if world.alive and not world.gate.shut and steward.act(duty) is not None and duty in steward.workers:
+                return name
+        return None
+
+    def until(self, look: Callable[[], bool], step_us: int = 2_000) -> int:
+        began = self.sim.now_us()
+        while not look():
+            self.sim.scheduler.sleep_until(self.sim.now_us() + step_us)
+        return self.sim.now_us() - began
+
+
+def without_owner(kind: str, seed: int) -> int:
+    """Microseconds from the fault to the next owner's first moment."""
+    bench = Stewards(seed, 3, 3)
+    gap = 0
+
+    def program() -> None:
+        nonlocal gap
+        bench.start()
+        sim = bench.sim
+        bench.until(lambda: bench.owner("sweep/0") is not None)
+        sim.scheduler.sleep_until(sim.now_us() + 2 * S + sim.random("when").randrange(2 * S))
+        name = bench.owner("sweep/0")
+        assert name is not None
+        world = sim.programs[name]
+        match kind:
+            case "killed":
+                world.kill()
+            case "stopped":
+                world.stall()
+            case "cut from the store":
+                sim.network.cut(name, "store")
+                sim.network.cut("store", name)
+                bench.until(lambda: bench.owner("sweep/0") is None)
+            case "leaves":
+                world.spawn("leave", bench.stewards[name].leave)
+                bench.until(lambda: bench.owner("sweep/0") is None, 200)
+            case "lease ended":
+                bench.etcd.command("expire")
+                bench.until(lambda: bench.owner("sweep/0") is None, 200)
+        gap = bench.until(lambda: bench.owner("sweep/0") is not None, 500)
+
+    bench.sim.run("bench", program)
+    return gap
+
+
+def calls_a_member(members: int) -> tuple[float, float]:
+    """Store calls a second for each member, at rest, and in all."""
+    bench = Stewards(1, 5, 49, members - 5)
+    seconds = 20
+
+    def program() -> None:
+        bench.start()
+        bench.sim.scheduler.sleep_until(bench.sim.now_us() + 10 * S)
+        bench.calls.clear()
+        bench.sim.scheduler.sleep_until(bench.sim.now_us() + seconds * S)
+
+    bench.sim.run("bench", program)
+    total = sum(n for path, n in bench.calls.items() if path.startswith("/v3")) / seconds
+    return total / members, total
+
+
+def last_hold(seed: int, stewards: bool) -> int | None:
+    """Microseconds from an edge's death to its last hold let go of; None when nothing was held."""
+    world = FleetWorld(FleetScript(seed, (), tuple(range(0, 3_000, 120))))
+    took: int | None = None
+
+    def trouble() -> None:
+        nonlocal took
+        sim = world.sim
+        if not stewards:
+            for name in ("s0", "s1", "s2"):
+                sim.programs[name].kill()
+        world._happens(FleetFault("dies holding", "edge0", "", 0, 0))
+        epoch, died = world.edges["edge0"].unique, sim.now_us()
+        if any(epoch_of(hold) == epoch for hold in world.holds()):
+            while any(epoch_of(hold) == epoch for hold in world.holds()):
+                sim.scheduler.sleep_until(sim.now_us() + 5_000)
+            took = sim.now_us() - died
+
+    real = world._fault
+    world._fault = lambda fault, started: trouble() if fault.kind == "bench" else real(fault, started)  # type: ignore
+    world.script = FleetScript(seed, (FleetFault("bench", "edge0", "", 500, 0),), world.script.requests)
+    world._settled = lambda: None  # type: ignore[method-assign]
+    for box in world.boxes.values():
+        box.settings = box.settings
+    world.play()
+    return took
+
+
+def served(store: bool, seed: int) -> Counter[str]:
+    """How the same requests end, with the store there or away all along."""
+    faults = () if store else (FleetFault("no leader", "store", "", 0, 14_000),)
+    world = FleetWorld(FleetScript(seed, faults, tuple(range(200, 12_000, 100))))
+    world._settled = lambda: None  # type: ignore[method-assign]
+    world.play()
+    counts: Counter[str] = Counter()
+    for edge in world.edges.values():
+        tally = edge.core.life.tally
+        counts.update(served=tally.served, refused=tally.refused, failed=tally.failed, left=tally.left)
+    return counts
+
+
+def quantiles(rows: list[int]) -> str:
+    rows = sorted(rows)
+    return f"p50 {rows[len(rows) // 2] / S:.3f} s, p99 {rows[min(len(rows) - 1, round(len(rows) * 0.99))] / S:.3f} s"
+
+
+def main() -> None:
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
+    runs = int(sys.argv[1]) if len(sys.argv) > 1 else 200
+    print(f"lease {TTL_MS / 1_000:g} s, margin 0.2 s; {runs} runs each, virtual time")
+    for kind in ("killed", "stopped", "cut from the store", "lease ended", "leaves"):
+        print(f"without an owner, {kind}: {quantiles([without_owner(kind, seed) for seed in range(runs)])}", flush=True)
+    for members in (10, 200, 1_000):
+        each, total = calls_a_member(members)
+        print(f"{members} members, 50 duties: {each:.2f} store calls a second for each, {total:.0f} in all", flush=True)
+    after = [took for seed in range(max(runs // 8, 4)) if (took := last_hold(seed, True)) is not None]
+    print(f"from an edge's death to its last hold, with stewards: {quantiles(after)} ({len(after)} deaths with holds)")
+    for store in (True, False):
+        counts: Counter[str] = Counter()
+        for seed in range(max(runs // 20, 2)):
+            counts.update(served(store, seed))
+        print(f"store {'there' if store else 'away'}: {dict(counts)}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
+
--- /dev/null
+++ b/tests/test_fleet_worlds.py
@@ -0,0 +1,92 @@
+"""Seeded worlds of the processes that act for a fleet: none breaks, and planted mistakes are found in them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from yardspindle.core.fleet import ownership, spread
+from yardspindle.core.fleet.sweep import Answer, Fates
+from yardspindle.fleet.store.interface import StoreError
+from yardspindle.lab.fleet_worlds import draw_fleet, play_fleet
+from yardspindle.steward.app import Steward
+
+
+def broken(first: int, count: int) -> list[str]:
+    for seed in range(first, first + count):
+        breaks, _ = play_fleet(draw_fleet(seed))
+        if breaks:
+            return [f"seed {seed}", *breaks]
+    return []
+
+
+@pytest.mark.parametrize("first", [0, 8])
+def test_worlds_break_nothing(first: int) -> None:
+    assert broken(first, 8) == []
+
+
+def test_the_same_seed_plays_the_same_world() -> None:
+    assert play_fleet(draw_fleet(5)) == play_fleet(draw_fleet(5))
+
+
+def _any_holder_is_me(patch: pytest.MonkeyPatch) -> None:
+    """Somebody else's key is taken for one's own."""
+    real = ownership._looked
+
+    def looked(state: Any, now: int, duty: str, lease: int, holder: Any, revision: int, commands: Any) -> Any:
+        mine = ownership.Holder(state.name, state.lease, holder.fence) if holder is not None else None
+        return real(state, now, duty, lease, mine, revision, commands)
+
+    patch.setattr(ownership, "_looked", looked)
+    shares = spread.shares
+    patch.setattr(spread, "shares", lambda free, holders, names: {
+        duty: sorted(order, key=lambda name: 0) for duty, order in shares(free, holders, names).items()})
+
+
+def _acts_without_its_lease(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ownership, "may_act", lambda state, now, duty: dict(state.held).get(duty))
+    patch.setattr(ownership, "_lapse", lambda state, now, commands: state)
+
+
+def _a_lost_answer_is_a_refusal(patch: pytest.MonkeyPatch) -> None:
+    """The key stays, and nobody works."""
+    real = Steward._take
+
+    def take(self: Steward, duty: str, lease: int) -> None:
+        txn = self.store.txn
+
+        def once(asked: Any) -> Any:
+            try:
+                return txn(asked)
+            except StoreError:
+                self._feed(ownership.Looked(duty, lease, None, 0))
+                raise SystemError from None
+
+        patch.setattr(self.store, "txn", once)
+        try:
+            real(self, duty, lease)
+        except SystemError:
+            pass
+        finally:
+            patch.setattr(self.store, "txn", txn)
+
+    patch.setattr(Steward, "_take", take)
+
+
+def _silence_is_death(patch: pytest.MonkeyPatch) -> None:
+    real = Fates.asked
+    patch.setattr(Fates, "asked", lambda self, now, epoch, answer, found: real(
+        self, now, epoch, Answer.REFUSED if answer is Answer.SILENT else answer, found))
+
+
+MISTAKES = {"any holder is me": (_any_holder_is_me, 40), "acts without its lease": (_acts_without_its_lease, 40),
+            "a lost answer is a refusal": (_a_lost_answer_is_a_refusal, 40),
+            "silence is death": (_silence_is_death, 40)}
+
+
+@pytest.mark.parametrize("name", MISTAKES)
+def test_a_mistake_is_found(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    plant, seeds = MISTAKES[name]
+    plant(monkeypatch)
+    assert broken(0, seeds), "not found"
--- a/yardspindle/cli/worlds.py
+++ b/yardspindle/cli/worlds.py
@@ -13,6 +13,7 @@
 from yardspindle.cli.common import Failure, set_up_logs
 from yardspindle.core.config import LogConfig
 from yardspindle.lab import seeds
+from yardspindle.lab.fleet_worlds import draw_fleet, play_fleet
 from yardspindle.lab.script import Script, draw_script
 from yardspindle.lab.worlds import play
 
@@ -24,12 +25,14 @@
 @click.option("--count", default=1_000, type=click.IntRange(1), help="How many.")
 @click.option("--jobs", default=os.cpu_count() or 1, type=click.IntRange(1, 256), help="Processes.")
 @click.option("--transitions/--no-transitions", default=True, help="Count the life cycles' steps.")
-def seeds_command(first: int, count: int, jobs: int, transitions: bool) -> None:
+@click.option("--world", default="traffic", show_default=True, type=click.Choice(["traffic", "fleet"]),
+              help="Clients, dispatchers and engines; or stewards, store and what they act on.")
+def seeds_command(first: int, count: int, jobs: int, transitions: bool, world: str) -> None:
     """Play many seeded worlds; exit 0 when none failed, 1 when one did. Ctrl-C stops with what there is."""
     tally = seeds.Tally()
     stopped = False
     try:
-        with (closing(seeds.play_seeds(first, count, jobs, transitions)) as outcomes,
+        with (closing(seeds.play_seeds(first, count, jobs, transitions, world)) as outcomes,
               click.progressbar(length=count, label="worlds", file=sys.stderr) as bar):
             for outcome in outcomes:
                 tally.add(outcome)
@@ -48,8 +51,11 @@
 @click.argument("seed", type=click.IntRange(0), required=False)
 @click.option("--script", "file", type=click.Path(dir_okay=False), help="A script's file instead of a seed.")
 @click.option("--trace", is_flag=True, help="Print all that clients and boxes see, and the programs' logs.")
-def seed_command(seed: int | None, file: str | None, trace: bool) -> None:
+@click.option("--world", default="traffic", show_default=True, type=click.Choice(["traffic", "fleet"]))
+def seed_command(seed: int | None, file: str | None, trace: bool, world: str) -> None:
     """Play one world; exit 0 when it breaks nothing, 1 when it does."""
+    if world == "fleet":
+        return _fleet_seed(seed, file, trace)
     script = _script(seed, file)
     _logs(trace)
     for fault in script.faults:
@@ -64,6 +70,22 @@
     sys.exit(1 if outcome.breaks else 0)
 
 
+def _fleet_seed(seed: int | None, file: str | None, trace: bool) -> None:
+    if seed is None or file is not None:
+        raise Failure("a world of the fleet is played by its seed")
+    _logs(trace)
+    script = draw_fleet(seed)
+    for fault in script.faults:
+        click.echo(str(fault))
+    breaks, counts = play_fleet(script)
+    for name, count in sorted(counts.items()):
+        click.echo(f"{name}: {count}")
+    for text in breaks:
+        click.echo(f"BROKEN {text}")
+    click.echo(f"broken: {len(breaks)}")
+    sys.exit(1 if breaks else 0)
+
+
 @click.command("shrink")
 @click.argument("seed", type=click.IntRange(0), required=False)
 @click.option("--script", "file", type=click.Path(dir_okay=False), help="A script's file instead of a seed.")
--- a/yardspindle/lab/seeds.py
+++ b/yardspindle/lab/seeds.py
@@ -17,6 +17,7 @@
 import msgspec
 import structlog
 
+from yardspindle.lab.fleet_worlds import draw_fleet, play_fleet
 from yardspindle.lab.script import FAULT_PAIRS, Fault, Script, draw_script, overlapping
 from yardspindle.lab.worlds import Outcome, play
 
@@ -40,7 +41,8 @@
         self.played += 1
         if outcome.breaks:
             self.failed[outcome.seed] = outcome.breaks[0]
-        self.pairs.update(overlapping(draw_script(outcome.seed)))
+        if outcome.trace:  # a world of traffic: those of the fleet have scripts of their own
+            self.pairs.update(overlapping(draw_script(outcome.seed)))
         self.transitions.update(outcome.transitions)
         self.answers.update(outcome.tally)
         self.virtual_ms += outcome.virtual_ms
@@ -48,8 +50,9 @@
     def text(self) -> str:
         """For people."""
         states = {name for step in self.transitions for name in step.split(" -> ")}
-        rows = [f"worlds played: {self.played}, {self.virtual_ms / 3_600_000:.1f} virtual hours",
-                f"pairs of faults that overlapped: {len(self.pairs)} of {FAULT_PAIRS}"]
+        rows = [f"worlds played: {self.played}, {self.virtual_ms / 3_600_000:.1f} virtual hours"]
+        if self.pairs:
+            rows.append(f"pairs of faults that overlapped: {len(self.pairs)} of {FAULT_PAIRS}")
         if self.transitions:
             rows.append(f"life cycle: {len(states)} states, {len(self.transitions)} transitions; the rarest: "
                         + "; ".join(f"{step} ({count})" for step, count in self.transitions.most_common()[:-6:-1]))
@@ -81,11 +84,23 @@
         return Outcome(script.seed, "", (f"run: {type(error).__name__}: {error}",), {}, {}, 0, 0)
 
 
-def play_seeds(first: int, count: int, jobs: int, transitions: bool) -> Generator[Outcome, None, None]:
-    """Outcomes as they come, in any order. Closing the iterator ends the workers."""
+def _play_fleet(job: tuple[int, bool]) -> Outcome:
+    seed, _ = job
+    gc.collect()
+    breaks, counts = play_fleet(draw_fleet(seed))
+    return Outcome(seed, "", breaks, dict(counts), {}, 0, 0)
+
+
+def play_seeds(first: int, count: int, jobs: int, transitions: bool,
+               world: str = "traffic") -> Generator[Outcome, None, None]:
+    """Outcomes as they come, in any order. Closing the iterator ends the workers.
+
+    `world`: `traffic` (edges, planner, engines, clients) or `fleet` (stewards, store, dispatchers, engines).
+    """
     jobs_of = ((seed, transitions) for seed in range(first, first + count))
+    one = _play_fleet if world == "fleet" else _play
     with multiprocessing.get_context("spawn").Pool(jobs, _start_worker, (True,)) as pool:
-        yield from pool.imap_unordered(_play, jobs_of, chunksize=4)
+        yield from pool.imap_unordered(one, jobs_of, chunksize=4)
 
 
 def shrink(script: Script, say: Callable[[str], None], fails: Callable[[Script], str] | None = None) -> Script:
