--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import sqlite3
+import subprocess
+import sys
 import tempfile
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -398,6 +400,45 @@
     run("file", tmp_path, test)
 
 
+def test_writers_that_are_killed_at_any_moment_leave_a_whole_store(tmp_path: Path) -> None:
+    """Four processes count two keys up in one transaction each; whoever is killed, they agree and nothing is lost."""
+    code = ("import sys; from yardspindle.core.fleet.kv import *; from yardspindle.runtime.real import RealWorld\n"
+            "from yardspindle.fleet.store.embedded import EmbeddedStore\n"
+            "w = RealWorld()\n"
+            "def go():\n"
+            "    s = EmbeddedStore(w, sys.argv[1], 5_000_000)\n"
+            "    while True:\n"
+            "        rows = s.range(b'a').rows\n"
+            "        n = int(rows[0].value) if rows else 0\n"
+            "        mod = rows[0].mod if rows else 0\n"
+            "        done = s.txn(Txn((Compare(b'a', 'mod', 'equal', mod),),\n"
+            "                         (Put(b'a', b'%d' % (n + 1)), Put(b'b', b'%d' % (n + 1)))))\n"
+            "        if done.succeeded: print(n + 1, flush=True)\n"
+            "w.run('count', go)\n")
+    path = tmp_path / "store.db"
+    highest = 0
+    for round_number in range(6):
+        children = [subprocess.Popen([sys.executable, "-c", code, str(path)], stdout=subprocess.PIPE, text=True)
+                    for _ in range(4)]
+        for at, child in enumerate(children):
+            assert child.stdout is not None
+            for _ in range(3 + round_number + at):
+                highest = max(highest, int(child.stdout.readline()))
+            child.kill()
+        for child in children:
+            assert child.stdout is not None
+            highest = max([highest, *(int(row) for row in child.stdout.read().split("\n") if row.strip())])
+            child.stdout.close()
+            child.wait()
+
+    def test(world: RealWorld, store: Store) -> None:
+        one, other = store.range(b"a").rows[0], store.range(b"b").rows[0]
+        assert one.value == other.value and int(one.value) >= highest > 40
+        assert one.version == int(one.value), "every count was made once"
+
+    run("file", tmp_path, test)
+
+
 def test_leases_of_an_earlier_start_of_the_machine_have_ended(tmp_path: Path) -> None:
     def test(world: RealWorld, store: Store) -> None:
         assert isinstance(store, EmbeddedStore)
--- a/yardspindle/cli/up.py
+++ b/yardspindle/cli/up.py
@@ -19,7 +19,7 @@
     """Start a whole router with stand-in engines; the first line says where it serves."""
     set_up_logs(LogConfig(format="console"))
     world = RealWorld()
-    fleet = small_fleet(world, cells)
+    fleet = small_fleet(world, cells, shared=True)
     fleet.dispatchers[0].port = port
 
     def start() -> str:
