--- /dev/null
+++ b/tests/test_clocks.py
@@ -0,0 +1,33 @@
+"""Whose clock is out, from what pages answered."""
+
+from __future__ import annotations
+
+from yardspindle.core.fleet.clocks import judge, sample
+
+MS = 1_000
+EPOCHS = {name: f"epoch of {name}" for name in "abcde"}
+
+
+def at(offset_us: int, took_us: int = 2 * MS) -> tuple[int, int, int]:
+    return 0, offset_us + took_us // 2, took_us
+
+
+def test_one_that_is_off_is_out_and_the_others_are_not() -> None:
+    word = judge({name: sample(*at(offset)) for name, offset in
+                  zip("abcde", (0, 3 * MS, -3 * MS, MS, 60_000 * MS), strict=True)}, EPOCHS, 5_000 * MS)
+    assert word.out == ("epoch of e",) and abs(word.offsets["e"] - 60_000 * MS) < 5 * MS
+
+
+def test_the_asker_itself_is_out_when_all_others_agree() -> None:
+    word = judge({"a": sample(0, 0, 0)} | {name: sample(*at(-60_000 * MS)) for name in "bcd"}, EPOCHS, 5_000 * MS)
+    assert word.out == ("epoch of a",)
+
+
+def test_a_slow_answer_proves_nothing() -> None:
+    word = judge({"a": sample(0, 0, 0), "b": sample(*at(0)), "c": sample(0, 8_000 * MS, 20_000 * MS)}, EPOCHS,
+                 5_000 * MS)
+    assert word.out == ()
+
+
+def test_nobody_answers() -> None:
+    assert judge({}, {}, MS).out == ()
--- a/tests/test_fleet_worlds.py
+++ b/tests/test_fleet_worlds.py
@@ -90,3 +90,9 @@
     plant, seeds = MISTAKES[name]
     plant(monkeypatch)
     assert broken(0, seeds), "not found"
+
+
+def test_found_worlds_stay_clean() -> None:
+    """4306: all clocks step; members whose lease was gone asked again and again without a pause."""
+    for seed in (1143, 2336, 4306):
+        assert play_fleet(draw_fleet(seed))[0] == ()
--- a/yardspindle/core/fleet/clocks.py
+++ b/yardspindle/core/fleet/clocks.py
@@ -30,11 +30,12 @@
     return Sample(theirs_us - after_us, theirs_us - before_us)
 
 
-def judge(samples: dict[str, Sample], bound_us: int) -> ClockWord:
-    """Offsets against the middle, and who is out by more than the bound. `samples`: our own among them."""
+def judge(samples: dict[str, Sample], epochs: dict[str, str], bound_us: int) -> ClockWord:
+    """Offsets against the middle, and who is out by more than the bound. By member; our own sample among them."""
     if not samples:
         return ClockWord()
     middle = median_low(row.middle_us for row in samples.values())
     out = [name for name, row in samples.items()
            if row.least_us - middle > bound_us or row.most_us - middle < -bound_us]
-    return ClockWord({name: row.middle_us - middle for name, row in sorted(samples.items())}, tuple(sorted(out)))
+    offsets = {name: row.middle_us - middle for name, row in sorted(samples.items())}
+    return ClockWord(offsets, tuple(sorted(epochs[name] for name in out)))
--- a/yardspindle/core/fleet/members.py
+++ b/yardspindle/core/fleet/members.py
@@ -58,7 +58,9 @@
 
 
 class ClockWord(Struct, frozen=True):
-    """Offsets against the fleet's middle, in microseconds, by member; and who is out by more than leases bear."""
+    """Offsets against the fleet's middle, in microseconds, by member; and the epochs that are out by too much.
+
+    Epochs, not names: a process takes its clock at its start, so one that was started again is judged anew."""
 
     offsets: dict[str, int] = {}
     out: tuple[str, ...] = ()
--- a/yardspindle/fleet/membership.py
+++ b/yardspindle/fleet/membership.py
@@ -23,6 +23,7 @@
 from yardspindle.runtime.world import World
 
 KEEP_PART = 1 / 3  # of the time to live: how often a lease is kept alive
+LEASE_GONE = "requested lease not found"  # as etcd words it
 RETRY_PART = 1 / 12  # of it: the pause after a call that failed; doubled up to the above
 
 log = structlog.get_logger("yardspindle.fleet")
@@ -162,9 +163,10 @@
             except StoreError as error:
                 log.warning("lease not kept alive", reason=str(error))
                 self._turns.failed(False)
-                if self._world.now_us() >= until_us:
+                if self._world.now_us() >= until_us or LEASE_GONE in str(error):
                     return
-                wait_us = retry_us
+                self._world.sleep_until(self._world.now_us() + round(retry_us))
+                wait_us = 0
                 continue
             self._turns.kept(lease, sent_us, kept.ttl_us, kept.revision)
             if not kept.ttl_us:
--- a/yardspindle/lab/fleet_worlds.py
+++ b/yardspindle/lab/fleet_worlds.py
@@ -310,7 +310,8 @@
             owners = self.owners()
             idle = [duty for duty in wanted if len(owners.get(duty, [])) != 1
                     or duty not in self.stewards[owners[duty][0]].workers]
-            if not left and not idle:
+            barred = all(steward.state.barred for steward in self.stewards.values())  # then nobody may own anything
+            if not left and not idle or barred:
                 return
             if sim.now_us() > until_us:
                 self.found += [f"liveness: {duty} is owned by {owners.get(duty)}" for duty in idle]
--- a/yardspindle/steward/app.py
+++ b/yardspindle/steward/app.py
@@ -113,7 +113,7 @@
 
     def _news(self) -> None:
         if self._begun:
-            self._feed(own.Barred(self.membership.member.id in self.follower.view.clocks.out))
+            self._feed(own.Barred(self.epoch in self.follower.view.clocks.out))
             self._feed(own.Told(self.follower.view.seen(self.wanted())))
 
     def _tick(self) -> None:
--- a/yardspindle/steward/clock.py
+++ b/yardspindle/steward/clock.py
@@ -40,8 +40,10 @@
     def run(self) -> None:
         """See Duty."""
         while True:
+            own = self._membership.member
+            epochs = {name: member.epoch for name, member in self._follower.view.members.items()} | {own.id: own.epoch}
             samples = self._ask_all()
-            word = judge(samples, self._bound_us)
+            word = judge({name: row for name, row in samples.items() if name in epochs}, epochs, self._bound_us)
             now = self._world.now_us()
             if self._said is None or word.out != self._said.out or now - self._said_us > SAY_US:
                 self._say(now, word)
@@ -75,6 +77,6 @@
                                ).succeeded:
                 self._said, self._said_us = word, now
                 if word.out:
-                    log.warning("clocks are out", members=list(word.out))
+                    log.warning("clocks are out", epochs=list(word.out), offsets=word.offsets)
         except StoreError as error:
             log.info("clocks could not be told", reason=str(error))
