Release by permits: units, orders under a fence, waves, automatic halt and way back

A rolling release was whoever sent SIGTERM. A unit now leaves on purpose only with a permit: granted by the steward that owns the duty release, one after another, when limits by group and the room that is left allow it, and when nobody unheard of, cold or failing has used the limit up. Waves, halt, way back, drains and the audit trail are rows of the store; each step is a pure function of them, so another owner goes on. yardspindle unit starts its unit, tells how it is, and carries out each order once, also when it is killed in between. The halt is a sequential test on bad requests of released and unreleased units in the same windows.

Seven scenarios with real processes hold: a whole release, a version that does not start, one that does harm, the steward stopped in mid-wave, a unit program killed in the middle, an accident that uses the limit up, drains by hand.

--- /dev/null
+++ b/tests/unit_standin.py
@@ -0,0 +1,68 @@
+"""A unit for tests: serves one page with its version; a version named `bad...` does not start, or turns out bad.
+
+`python -m tests.unit_standin run NAME VERSION PORT JOURNAL` and `... check NAME PORT`.
+"""
+
+from __future__ import annotations
+
+import http.client
+import http.server
+import json
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+NEVER, ILL = "never", "ill"  # versions that end at once, and whose requests end badly
+
+
+def run(name: str, version: str, port: int, journal: str) -> None:
+    def note(event: str) -> None:
+        with Path(journal).open("a") as out:
+            out.write(json.dumps({"t": time.time_ns() // 1_000, "unit": name, "ev": event, "version": version}) + "\n")
+
+    if version.startswith(NEVER):
+        note("did not start")
+        sys.exit(3)
+    counts = {"served": 0, "bad": 0}
+
+    class Page(http.server.BaseHTTPRequestHandler):
+        def do_GET(self) -> None:
+            if self.path == "/work":  # a hundred requests at a time
+                bad = 20 if version.startswith(ILL) else 1
+                counts["served"] += 100 - bad
+                counts["bad"] += bad
+            body = json.dumps({"load": 1.0, "room": 10.0, **counts}).encode()
+            self.send_response(200)
+            self.send_header("content-length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+        def log_message(self, *_: Any) -> None:
+            pass
+
+    def end(*_: object) -> None:
+        note("down")
+        sys.exit(0)
+
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", port), Page)
+    signal.signal(signal.SIGTERM, end)
+    note("up")
+    server.serve_forever()
+
+
+def check(port: int) -> None:
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=1)
+    try:
+        connection.request("GET", "/")
+        print(connection.getresponse().read().decode(), flush=True)
+    except OSError:
+        sys.exit(2)
+
+
+if __name__ == "__main__":
+    if sys.argv[1] == "run":
+        run(sys.argv[2], sys.argv[3], int(sys.argv[4]), sys.argv[5])
+    else:
+        check(int(sys.argv[2]))
--- /dev/null
+++ b/yardspindle/cli/unit.py
@@ -0,0 +1,46 @@
+"""`yardspindle unit FILE`: the program beside one dispatcher or model host."""
+
+from __future__ import annotations
+
+from importlib.metadata import version
+
+import click
+
+from yardspindle.cli.common import Failure, load, run_until_stopped, set_up_logs
+from yardspindle.core.config import ConfigError, decode_toml
+from yardspindle.core.fleet.unit import UnitFile
+from yardspindle.fleet.store.interface import StoreError
+from yardspindle.fleet.store.open import open_store
+from yardspindle.runtime.real import RealWorld
+from yardspindle.unit.app import Unit
+
+
+@click.command("unit")
+@click.argument("file", type=click.Path(dir_okay=False))
+def unit_command(file: str) -> None:
+    """Run the program beside a unit: it starts the unit, tells how it is, and carries out its orders."""
+    try:
+        with open(file, "rb") as source:
+            unit_file = decode_toml(file, source.read(), UnitFile)
+    except OSError as error:
+        raise Failure(f"{file}: {error.strerror}") from None
+    except ConfigError as error:
+        raise Failure(str(error)) from None
+    config = load(unit_file.fleet)
+    if not config.fleet.store:
+        raise Failure(f"{unit_file.fleet}: fleet.store: missing; a unit takes its orders from the store")
+    set_up_logs(config.log)
+    world = RealWorld()
+    running: list[Unit] = []
+
+    def start() -> str:
+        try:
+            store = open_store(world, config.fleet)
+            running.append(Unit(world, unit_file, config.fleet, store, version("yardspindle")))
+        except (StoreError, OSError) as error:
+            raise ConfigError(f"{unit_file.fleet}: fleet.store: {error}") from None
+        except ValueError as error:
+            raise ConfigError(f"{file}: state: {error}") from None
+        return f"http://{running[0].start()}"
+
+    run_until_stopped("unit", world, start, lambda: running[0].stop(), f"{file}: page")
--- a/yardspindle/core/config.py
+++ b/yardspindle/core/config.py
@@ -134,6 +134,22 @@
     clock_bound_ms: Positive = 5_000.0
 
 
+class Limit(Struct, forbid_unknown_fields=True, frozen=True):
+    """For each value of a group (or the one that `only` names): at most so many out, at least so many serving."""
+
+    group: Literal["all", "zone", "cell", "role", "kind", "rack"]
+    only: str = ""
+    most_out: Annotated[int, Meta(ge=0)] | None = None
+    most_out_share: Annotated[float, Meta(ge=0, le=1)] | None = None
+    least_serving: Annotated[int, Meta(ge=0)] | None = None
+
+
+class ReleaseConfig(Struct, forbid_unknown_fields=True, frozen=True):
+    """How many units may be out at once."""
+
+    limit: tuple[Limit, ...] = ()
+
+
 class LogConfig(Struct, forbid_unknown_fields=True, frozen=True):
     """Logs go to standard error."""
 
@@ -157,6 +173,7 @@
     planner: PlannerConfig = field(default_factory=PlannerConfig)
     index: IndexConfig = field(default_factory=IndexConfig)
     fleet: FleetConfig = field(default_factory=FleetConfig)
+    release: ReleaseConfig = field(default_factory=ReleaseConfig)
     log: LogConfig = field(default_factory=LogConfig)
 
 
--- a/yardspindle/core/fleet/members.py
+++ b/yardspindle/core/fleet/members.py
@@ -156,11 +156,12 @@
     epochs: dict[str, Member] = field(default_factory=dict)
     duties: dict[str, Holder] = field(default_factory=dict)
     clocks: ClockWord = field(default_factory=ClockWord)
+    rows: dict[bytes, KeyValue] = field(default_factory=dict)  # what else lies under the root
 
     def reset(self, revision: int, rows: Iterable[KeyValue]) -> None:
         """All of it, read at a revision."""
         self.revision = revision
-        self.members, self.epochs, self.duties, self.clocks = {}, {}, {}, ClockWord()
+        self.members, self.epochs, self.duties, self.clocks, self.rows = {}, {}, {}, ClockWord(), {}
         for row in rows:
             self._put(row)
 
@@ -188,6 +189,8 @@
                 self.duties[row.key[len(keys.duties):].decode()] = held
         elif row.key == keys.clocks:
             self.clocks = read(row.value, ClockWord) or ClockWord()
+        else:
+            self.rows[row.key] = row
 
     def _remove(self, key: bytes) -> None:
         keys = self.keys
@@ -196,6 +199,7 @@
                 rows.pop(key[len(start):].decode(), None)
         if key == keys.clocks:
             self.clocks = ClockWord()
+        self.rows.pop(key, None)
 
     def seen(self, wanted: frozenset[str]) -> Seen:
         """What ownership rests on."""
--- a/yardspindle/core/fleet/permits.py
+++ b/yardspindle/core/fleet/permits.py
@@ -11,26 +11,17 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from typing import Annotated, Literal
+from typing import Literal
 
-from msgspec import Meta, Struct
+from msgspec import Struct
+
+from yardspindle.core.config import Limit
 
-Group = Literal["all", "zone", "cell", "role", "kind", "rack"]
 Standing = Literal["well", "cold", "failing", "draining", "stopped", "starting"]
 AGAIN_US = 2_000_000  # after a "not now" that time alone may change
 VIEW_MOST_US = 3_000_000  # how old the view may be at a grant: of the order of a lease
 
 
-class Limit(Struct, forbid_unknown_fields=True, frozen=True):
-    """For each value of a group (or the one that `only` names): at most so many out, at least so many serving."""
-
-    group: Group
-    only: str = ""
-    most_out: Annotated[int, Meta(ge=0)] | None = None
-    most_out_share: Annotated[float, Meta(ge=0, le=1)] | None = None
-    least_serving: Annotated[int, Meta(ge=0)] | None = None
-
-
 class Place(Struct, frozen=True):
     """Where a unit lies, as it was last registered. Kept when the unit is gone: it is then missing, not forgotten."""
 
--- /dev/null
+++ b/yardspindle/core/fleet/unit.py
@@ -0,0 +1,228 @@
+"""What the program beside a unit does next: orders carried out once, in order of drain, stop, start, check.
+
+Pure: `step` takes the state, the time and an event. What was begun is written down before it is done (`Remember`), so
+that a program that is killed between stop and start goes on with the start and never stops a second time. Orders come
+from the store alone, where each was written under the fence of who gave it; one of a lower fence than one met is passed
+over.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass
+from typing import Annotated, Any, Literal
+
+from msgspec import Meta, Struct
+from msgspec.structs import replace
+
+from yardspindle.core.config import Address, Name, NotNegative, Positive
+from yardspindle.core.fleet.fences import Fences
+from yardspindle.core.fleet.permits import Standing
+from yardspindle.core.fleet.release_plan import Order
+
+Stage = Literal["idle", "draining", "stopping", "starting", "checking"]
+PAUSE_FIRST_US, PAUSE_MOST_US = 500_000, 60_000_000  # before a crashed unit is started again
+
+
+class UnitFile(Struct, forbid_unknown_fields=True, frozen=True):
+    """`yardspindle unit FILE.toml`: a unit, and the commands that carry out its orders. `{version}` is put in."""
+
+    name: Name
+    kind: Literal["dispatcher", "host"]
+    fleet: Annotated[str, Meta(min_length=1)]  # file with the `[fleet]` section
+    versions: Annotated[tuple[str, ...], Meta(min_length=1)]  # that can be started here
+    run: Annotated[tuple[str, ...], Meta(min_length=1)]  # the unit itself; it is ended by SIGTERM
+    state: Annotated[str, Meta(min_length=1)]  # file in which this program remembers what it has begun
+    groups: dict[Literal["zone", "cell", "role", "kind", "rack"], str] = {}
+    drain: tuple[str, ...] = ()  # ends when nothing runs in the unit any more; without it SIGTERM has to do
+    check: tuple[str, ...] = ()  # exit code 0: well; 1: cold; else failing
+    page: Address | None = None
+    drain_s: NotNegative = 30.0
+    stop_s: Positive = 10.0
+    start_s: Positive = 60.0
+    check_s: Positive = 2.0
+
+
+class Memory(Struct, frozen=True):
+    """What outlasts this program."""
+
+    version: str  # that is to run
+    number: int = 0  # the last order that was begun
+    done: int = 0  # the last order that was carried out
+    stage: Stage = "starting"
+    fence: int = 0  # the highest obeyed
+    refused: str = ""
+    drained: bool = False  # it stays drained, and is up
+    pid: int = 0  # what runs
+    born: int = 0  # and when it started, by the machine: a process id comes again
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """A unit's program."""
+
+    file: UnitFile
+    memory: Memory
+    since_us: int = 0  # of the present stage
+    alive: bool = False
+    standing: Standing = "stopped"
+    crashes: int = 0
+    again_us: int = 0  # not to be started before
+
+
+# --- what happens
+
+@dataclass(frozen=True, slots=True)
+class Ordered:
+    """The order as the store has it."""
+
+    order: Order
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """A command ended: `code` None when its time was up."""
+
+    what: Literal["drain", "stop", "start", "check"]
+    code: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class Died:
+    """What ran has ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time went by; `released`: whether the store says that this unit may be out (it has a permit)."""
+
+    permit: bool
+
+
+Event = Ordered | Ended | Died | Tick
+
+
+# --- what is to be done
+
+@dataclass(frozen=True, slots=True)
+class Remember:
+    """Write the memory down before what follows."""
+
+    memory: Memory
+
+
+@dataclass(frozen=True, slots=True)
+class Do:
+    """Run a command; answered by `Ended`."""
+
+    what: Literal["drain", "stop", "start", "check"]
+
+
+Command = Remember | Do
+
+
+def step(state: State, now_us: int, event: Event) -> tuple[State, tuple[Command, ...]]:
+    """The next state, and what is to be done, in order."""
+    memory = state.memory
+    match event:
+        case Ordered(order):
+            return _ordered(state, now_us, order)
+        case Ended("drain", _) if memory.stage == "draining":  # drained, or its time is up: the platform's would be too
+            if memory.drained:
+                return _stay(state, now_us)
+            return _stage(state, now_us, "stopping", Do("stop"))
+        case Ended("stop", _) if memory.stage == "stopping":
+            return _stage(_with(state, alive=False), now_us, "starting", Do("start"))
+        case Ended("start", code) if memory.stage == "starting":
+            if code != 0:
+                return _failed(state, now_us, f"version {memory.version} did not start")
+            return _stage(_with(state, alive=True, standing="starting"), now_us, "checking", Do("check"))
+        case Ended("check", code):
+            return _checked(state, now_us, code)
+        case Died():
+            pause_us = min(PAUSE_FIRST_US << min(state.crashes, 10), PAUSE_MOST_US)
+            down = _with(state, alive=False, standing="stopped", crashes=state.crashes + 1, again_us=now_us + pause_us)
+            if memory.stage == "checking":
+                return _failed(down, now_us, f"version {memory.version} ended by itself")
+            return down, ()
+        case Tick(permit):
+            # What crashed is started again: within its permit while it is out, else because it is meant to run.
+            if not state.alive and memory.stage == "idle" and now_us >= state.again_us and (
+                    permit or not memory.refused):
+                return _stage(state, now_us, "starting", Do("start"))
+    return state, ()
+
+
+def first(state: State, now_us: int, alive: bool) -> tuple[State, tuple[Command, ...]]:
+    """This program begins, perhaps in the middle of an order; `alive`: what it remembers still runs."""
+    state = _with(state, alive=alive, since_us=now_us)
+    match state.memory.stage:
+        case "draining":
+            return state, (Do("drain"),)
+        case "stopping" if alive:
+            return state, (Do("stop"),)
+        case "stopping" | "starting" if not alive:
+            return _stage(state, now_us, "starting", Do("start"))
+        case "starting" | "checking":
+            return _stage(state, now_us, "checking", Do("check"))
+    return state, ()
+
+
+def _with(state: State, **changes: Any) -> State:
+    return dataclasses.replace(state, **changes)
+
+
+def _stage(state: State, now_us: int, stage: Stage, do: Do) -> tuple[State, tuple[Command, ...]]:
+    memory = replace(state.memory, stage=stage)
+    return _with(state, memory=memory, since_us=now_us), (Remember(memory), do)
+
+
+def _stay(state: State, now_us: int) -> tuple[State, tuple[Command, ...]]:
+    memory = replace(state.memory, stage="idle", done=state.memory.number)
+    return _with(state, memory=memory, since_us=now_us, standing="draining"), (Remember(memory),)
+
+
+def _ordered(state: State, now_us: int, order: Order) -> tuple[State, tuple[Command, ...]]:
+    memory = state.memory
+    fences = Fences({order.duty: memory.fence})
+    if order.number <= memory.number or not fences.admits(order.duty, order.fence):
+        return state, ()  # carried out before, or of an owner who was replaced
+    memory = replace(memory, number=order.number, fence=order.fence, refused="", drained=order.do == "drain")
+    if order.do == "go" and order.version not in state.file.versions:
+        memory = replace(memory, done=order.number, refused=f"version {order.version} is not here")
+        return _with(state, memory=memory), (Remember(memory),)
+    if order.do == "undrain":
+        memory = replace(memory, stage="checking" if state.alive else "starting")
+        return _with(state, memory=memory, since_us=now_us), (
+            Remember(memory), Do("check" if state.alive else "start"))
+    if order.do == "go":
+        memory = replace(memory, version=order.version)
+    if not state.alive:
+        memory = replace(memory, stage="starting" if order.do == "go" else "idle")
+        return _with(state, memory=memory, since_us=now_us), (
+            Remember(memory), *((Do("start"),) if order.do == "go" else ()))
+    memory = replace(memory, stage="draining")
+    return _with(state, memory=memory, since_us=now_us, standing="draining"), (Remember(memory), Do("drain"))
+
+
+def _checked(state: State, now_us: int, code: int | None) -> tuple[State, tuple[Command, ...]]:
+    standing: Standing = "well" if code == 0 else "cold" if code == 1 else "failing"
+    if not state.alive:
+        return state, ()
+    if state.memory.drained and state.memory.stage == "idle":
+        return state, ()
+    checked = _with(state, standing=standing, crashes=0 if code == 0 else state.crashes)
+    if state.memory.stage != "checking":
+        return checked, ()
+    if code == 0:
+        memory = replace(state.memory, stage="idle", done=state.memory.number, refused="")
+        return _with(checked, memory=memory), (Remember(memory),)
+    if now_us - state.since_us > state.file.start_s * 1e6:
+        return _failed(checked, now_us, f"version {state.memory.version} is not well after {state.file.start_s:g} s")
+    return checked, ()
+
+
+def _failed(state: State, now_us: int, why: str) -> tuple[State, tuple[Command, ...]]:
+    """The order ended badly: said once, and left as it is for whoever decides."""
+    memory = replace(state.memory, stage="idle", done=state.memory.number, refused=why)
+    return _with(state, memory=memory, since_us=now_us), (Remember(memory),)
--- a/yardspindle/fleet/follow.py
+++ b/yardspindle/fleet/follow.py
@@ -30,7 +30,7 @@
         """`on_news` is called after each change."""
         self._world, self._store, self._keys, self._on_news = world, store, keys, on_news
         self.view = View(keys)
-        self.heard_us = 0  # when the store last said how it stands
+        self.current_us = 0  # when the view was last known to be all that the store holds
         self.read_anew = 0
         self._behind_us = 0  # since when the view is behind
 
@@ -38,6 +38,7 @@
         """The store stands at least there, as something else told."""
         if revision <= self.view.revision:
             self._behind_us = 0
+            self.current_us = self._world.now_us()
         elif not self._behind_us:
             self._behind_us = self._world.now_us()
 
@@ -83,5 +84,5 @@
             self._heard()
 
     def _heard(self) -> None:
-        self.heard_us = self._world.now_us()
+        self.current_us = self._world.now_us()
         self._on_news()
--- /dev/null
+++ b/yardspindle/runtime/service.py
@@ -0,0 +1,78 @@
+"""A long-lived process beside this one on the real World: it outlives its starter, and is known by id and start.
+
+A process id comes again, so it is paired with the start time that the kernel keeps; signals go by a handle (pidfd) that
+is opened first and checked after, so that they never reach another process.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import signal
+import subprocess
+from collections.abc import Sequence
+
+from yardspindle.runtime.poller import READ_MASK
+from yardspindle.runtime.real import RealWorld
+from yardspindle.runtime.scheduler import DeadlineExceeded
+
+
+def born(pid: int) -> int:
+    """When a process started, in the kernel's ticks; 0 when there is none, or only its remains."""
+    try:
+        with open(f"/proc/{pid}/stat", "rb") as file:
+            fields = file.read().rpartition(b")")[2].split()
+    except OSError:
+        return 0
+    return 0 if fields[0] in (b"Z", b"X") else int(fields[19])
+
+
+class Service:
+    """A process, ours or one that an earlier start of this program left running."""
+
+    def __init__(self, world: RealWorld, pid: int, started: int,
+                 process: subprocess.Popen[bytes] | None = None) -> None:
+        """`started`: as `born` told it."""
+        self._world, self.pid, self.started, self._process = world, pid, started, process
+
+    @classmethod
+    def start(cls, world: RealWorld, argv: Sequence[str], log_path: str) -> Service:
+        """Start it in a session of its own, output appended to a file. Raises OSError."""
+        with open(log_path, "ab") as log:
+            process = subprocess.Popen(argv, stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True)
+        return cls(world, process.pid, born(process.pid), process)
+
+    def alive(self) -> bool:
+        """Whether it still runs."""
+        if self._process is not None and self._process.poll() is not None:
+            return False
+        return self.started != 0 and born(self.pid) == self.started
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to it, or to nobody."""
+        with contextlib.suppress(OSError):
+            handle = os.pidfd_open(self.pid)
+            try:
+                if born(self.pid) == self.started:
+                    signal.pidfd_send_signal(handle, number)
+            finally:
+                os.close(handle)
+
+    def wait(self, until_us: int) -> bool:
+        """Wait for its end; whether it ended in time."""
+        try:
+            handle = os.pidfd_open(self.pid)
+        except OSError:
+            return True
+        try:
+            if not self.alive():
+                return True
+            with self._world.deadline(until_us):
+                self._world.poller.block(self._world.scheduler, handle, READ_MASK)
+            if self._process is not None:
+                self._process.poll()
+            return True
+        except DeadlineExceeded:
+            return False
+        finally:
+            os.close(handle)
--- a/yardspindle/steward/app.py
+++ b/yardspindle/steward/app.py
@@ -25,6 +25,7 @@
 from yardspindle.runtime.scheduler import Task
 from yardspindle.runtime.world import World
 from yardspindle.steward.clock import Clock
+from yardspindle.steward.release import Releasing
 from yardspindle.steward.sweep import Sweep
 
 TICK_US = 20_000  # how often time alone is looked at: a hand-over is to take under 100 ms
@@ -92,8 +93,8 @@
             log.warning("left without the store's word; duties end with the lease", reason=str(error))
 
     def wanted(self) -> frozenset[str]:
-        """The duties that there are: one clock, and a sweep of each cell that has engines."""
-        return frozenset(["clock", *(f"sweep/{row.cell}" for row in self.roster.servers)])
+        """The duties that there are: clock, release, and a sweep of each cell that has engines."""
+        return frozenset(["clock", "release", *(f"sweep/{row.cell}" for row in self.roster.servers)])
 
     def act(self, duty: str) -> int | None:
         """The fence to act with now, or None."""
@@ -152,6 +153,9 @@
         if duty == "clock":
             return Clock(self.world, self.store, self.keys, self.follower, self.membership,
                          microseconds(self.config.fleet.clock_bound_ms), act)
+        if duty == "release":
+            return Releasing(self.world, self.store, self.keys, self.follower, self.config.release.limit, self.name,
+                             act)
         return Sweep(self.world, self.store, self.keys, self.follower, self.roster, duty, act)
 
     def _take(self, duty: str, lease: int) -> None:
--- /dev/null
+++ b/yardspindle/unit/app.py
@@ -0,0 +1,224 @@
+"""The unit's program: registers, tells how the unit is, follows its orders, runs the commands of its file.
+
+Every decision is `core/fleet/unit.step`. The unit itself outlives this program: after a restart it is found again by
+what was remembered of it.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+from collections.abc import Sequence
+
+import msgspec
+import structlog
+from msgspec.structs import replace
+
+from yardspindle.core.config import FleetConfig, microseconds, split_address
+from yardspindle.core.fleet import unit as u
+from yardspindle.core.fleet.kv import Put, Txn
+from yardspindle.core.fleet.members import Keys, read
+from yardspindle.core.fleet.permits import Place, Status
+from yardspindle.core.fleet.release_keys import UnitKeys
+from yardspindle.core.fleet.release_plan import Order
+from yardspindle.fleet.membership import Membership, Turns
+from yardspindle.fleet.store.interface import Store, StoreError
+from yardspindle.runtime.process import Child, ChildError
+from yardspindle.runtime.real import RealWorld
+from yardspindle.runtime.scheduler import DeadlineExceeded
+from yardspindle.runtime.service import Service
+
+LOOK_US = 200_000  # how often the order is read, and the unit looked at
+CHECK_US = 500_000  # between two checks
+TELL_US = 1_000_000  # how often figures alone are told
+
+log = structlog.get_logger("yardspindle.unit")
+
+
+class Figures(msgspec.Struct, frozen=True):
+    """What a check may print as a line of JSON."""
+
+    load: float = 0.0
+    room: float = 0.0
+    served: int = 0
+    bad: int = 0
+
+
+class Unit:
+    """One unit's program."""
+
+    def __init__(self, world: RealWorld, file: u.UnitFile, fleet: FleetConfig, store: Store, version: str) -> None:
+        """Nothing is started. Raises ValueError: the state file cannot be read."""
+        self.world, self.file, self.store = world, file, store
+        self.keys = UnitKeys(Keys(fleet.name))
+        try:
+            memory = msgspec.json.decode(world.read_file(file.state), type=u.Memory)
+        except FileNotFoundError:
+            memory = u.Memory(file.versions[0])
+        except msgspec.DecodeError as error:
+            raise ValueError(f"{file.state}: {error}") from None
+        self.state = u.State(file, memory)
+        self.service = Service(world, memory.pid, memory.born) if memory.pid else None
+        self.membership = Membership(world, fleet, store, "unit", file.name,
+                                     f"{world.random('unit').getrandbits(48):012x}", file.groups.get("zone", ""),
+                                     version, Turns(lambda lease, sent, ttl: None, lambda *kept: None,
+                                                    lambda granting: None))
+        self._listen = split_address(file.page or fleet.listen)
+        self._call_us = microseconds(fleet.call_ms)
+        self._figures = Figures()
+        self._told: tuple[Status, int] | None = None
+        self._told_us = 0
+        self._placed = False
+        self._checking = False
+
+    def start(self) -> str:
+        """Register and begin. Raises OSError."""
+        self.membership.start(*self._listen)
+        alive = self.service is not None and self.service.alive()
+        self._perform(*u.first(self.state, self.world.now_us(), alive))
+        self.world.spawn("orders", self._orders)
+        self.world.spawn("watch", self._watch)
+        self.world.spawn("tell", self._tell)
+        return self.membership.member.page
+
+    def stop(self) -> None:
+        """This program ends; the unit goes on."""
+        self.membership.leave()
+
+    # --- events
+
+    def _feed(self, event: u.Event) -> None:
+        self._perform(*u.step(self.state, self.world.now_us(), event))
+
+    def _perform(self, state: u.State, commands: Sequence[u.Command]) -> None:
+        self.state = state
+        for command in commands:
+            match command:
+                case u.Remember(memory):
+                    self._remember(memory)
+                case u.Do(what):
+                    log.info("unit", do=what, version=self.state.memory.version, number=self.state.memory.number)
+                    self.world.spawn(what, self._do, what)
+
+    def _remember(self, memory: u.Memory) -> None:
+        """Written whole or not at all, before what it is about is done."""
+        if self.service is not None:
+            memory = replace(memory, pid=self.service.pid, born=self.service.started)
+        self.state = u._with(self.state, memory=memory)
+        fresh = self.file.state + ".new"
+        with open(fresh, "wb") as out:
+            out.write(msgspec.json.encode(memory))
+            out.flush()
+            os.fsync(out.fileno())
+        os.replace(fresh, self.file.state)
+
+    def _orders(self) -> None:
+        key, permit = self.keys.of("orders", self.file.name), self.keys.of("permits", self.file.name)
+        while True:
+            try:
+                rows = self.store.range(key).rows
+                order = read(rows[0].value, Order) if rows else None
+                if order is not None:
+                    if order.number > self.state.memory.number:
+                        log.info("order", number=order.number, do=order.do, version=order.version, fence=order.fence)
+                    self._feed(u.Ordered(order))
+                self._feed(u.Tick(bool(self.store.range(permit).rows)))
+            except StoreError as error:
+                log.debug("no order without the store", reason=str(error))
+                self._feed(u.Tick(False))
+            self.world.sleep_until(self.world.now_us() + LOOK_US)
+
+    def _watch(self) -> None:
+        checked = 0
+        while True:
+            self.world.sleep_until(self.world.now_us() + LOOK_US // 2)
+            if self.state.alive and self.service is not None and not self.service.alive() \
+                    and self.state.memory.stage != "stopping":
+                log.warning("the unit ended by itself", pid=self.service.pid)
+                self._feed(u.Died())
+            elif self.state.alive and not self._checking and self.world.now_us() - checked >= CHECK_US:
+                checked = self.world.now_us()
+                self._do("check")
+
+    def _do(self, what: str) -> None:
+        stage = self.file
+        match what:
+            case "check":
+                self._checking = True
+                try:
+                    code = self._command(stage.check, stage.check_s) if stage.check else 0
+                finally:
+                    self._checking = False
+                self._feed(u.Ended("check", code))
+            case "drain":
+                code = self._command(stage.drain, stage.drain_s) if stage.drain else 0
+                self._feed(u.Ended("drain", code))
+            case "stop":
+                if self.service is not None:
+                    self.service.send(signal.SIGTERM)
+                    if not self.service.wait(self.world.now_us() + round(stage.stop_s * 1e6)):
+                        self.service.send(signal.SIGKILL)
+                        self.service.wait(self.world.now_us() + round(stage.stop_s * 1e6))
+                self._feed(u.Ended("stop", 0))
+            case "start":
+                argv = [part.replace("{version}", self.state.memory.version) for part in stage.run]
+                try:
+                    self.service = Service.start(self.world, argv, self.file.state + ".log")
+                    self._remember(self.state.memory)
+                    self._feed(u.Ended("start", 0))
+                except OSError as error:
+                    log.error("the unit cannot be started", reason=str(error))
+                    self._feed(u.Ended("start", 127))
+
+    def _command(self, command: Sequence[str], seconds: float) -> int | None:
+        """A command's exit code, None when its time is up; a first line of JSON is taken as figures."""
+        argv = [part.replace("{version}", self.state.memory.version) for part in command]
+        until_us = self.world.now_us() + round(seconds * 1e6)
+        try:
+            child = Child(self.world, command[0], argv, self.file.state + ".log")
+        except OSError as error:
+            log.error("a command cannot be run", command=command[0], reason=str(error))
+            return 127
+        try:
+            line = child.first_line(round(seconds * 1e6))
+            self._figures = read(line.encode(), Figures) or self._figures
+        except (ChildError, DeadlineExceeded):
+            pass  # it printed nothing
+        code = child.wait(until_us)
+        if code is None:
+            child.send(signal.SIGKILL)
+            child.wait(self.world.now_us() + 1_000_000)
+        return code
+
+    # --- what is told
+
+    def status(self) -> Status:
+        """The unit as it is."""
+        memory, figures = self.state.memory, self._figures
+        return Status(self.file.name, f"{memory.pid}-{memory.born}", self.state.standing, memory.version, memory.done,
+                      memory.refused, figures.load, figures.room, figures.served, figures.bad)
+
+    def _tell(self) -> None:
+        """Under the lease, so that silence shows by itself; what matters at once, figures now and then."""
+        while True:
+            self.world.sleep_until(self.world.now_us() + LOOK_US // 4)
+            lease, status, now = self.membership.lease, self.status(), self.world.now_us()
+            if lease <= 0:
+                continue
+            if self._told is not None and self._told[1] == lease:
+                plain = replace(status, load=0.0, room=0.0, served=0, bad=0)
+                before = replace(self._told[0], load=0.0, room=0.0, served=0, bad=0)
+                if plain == before and (status == self._told[0] or now - self._told_us < TELL_US):
+                    continue
+            puts = [Put(self.keys.of("statuses", self.file.name), msgspec.json.encode(status), lease)]
+            if not self._placed:
+                groups = {str(name): value for name, value in self.file.groups.items()}
+                puts.append(Put(self.keys.of("places", self.file.name),
+                                msgspec.json.encode(Place(self.file.name, self.file.kind, groups))))
+            try:
+                self.store.txn(Txn(then=tuple(puts)))
+                self._told, self._told_us, self._placed = (status, lease), now, True
+            except StoreError as error:
+                log.debug("the unit's status could not be told", reason=str(error))
+
+
