--- /dev/null
+++ b/tests/test_permits.py
@@ -0,0 +1,360 @@
+"""Permits, plans, verdicts and the unit's program as decisions: small fleets whole, larger ones drawn."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yardspindle.core.config import Limit
+from yardspindle.core.fleet import permits as p
+from yardspindle.core.fleet import release_plan as r
+from yardspindle.core.fleet import unit as u
+from yardspindle.core.fleet.verdict import Counts, Trial, window
+
+S = 1_000_000
+
+
+def place(name: str, zone: str = "a", **groups: str) -> p.Place:
+    return p.Place(name, "dispatcher", {"zone": zone, **groups})
+
+
+def well(name: str, version: str = "v1", epoch: str = "1", **more: float) -> p.Status:
+    return p.Status(name, epoch, "well", version, load=more.get("load", 0.0), room=more.get("room", 0.0))
+
+
+def fleet(names: str = "abcd", limits: tuple[Limit, ...] = (Limit("all", most_out=1),), **more: object) -> p.Fleet:
+    return p.Fleet({n: place(n) for n in names}, {n: well(n) for n in names}, {}, limits, **more)  # type: ignore
+
+
+# --- permits
+
+def test_one_at_a_time_and_a_permit_asked_twice_is_the_same() -> None:
+    now = fleet()
+    assert p.ask(now, "a") is None
+    now = replace(now, permits={"a": p.Permit("a", "1", "ana")})
+    assert p.ask(now, "a") is None
+    no = p.ask(now, "b")
+    assert no is not None and "a (permit)" in no.reason and no.again_us
+
+
+@pytest.mark.parametrize("standing", ["cold", "failing", "draining", "stopped", "starting"])
+def test_whoever_is_out_by_accident_counts(standing: p.Standing) -> None:
+    now = fleet()
+    ill = {**now.statuses, "b": p.Status("b", "1", standing)}
+    no = p.ask(replace(now, statuses=ill), "a")
+    assert no is not None and f"b ({standing})" in no.reason
+    assert p.ask(replace(now, statuses=ill), "b") is None, "the one that is out anyway may be mended"
+
+
+def test_silence_and_old_views_count_against_leaving() -> None:
+    now = fleet()
+    silent = {name: row for name, row in now.statuses.items() if name != "b"}
+    assert "b (silent)" in str(p.ask(replace(now, statuses=silent), "a"))
+    assert "old" in str(p.ask(replace(now, age_us=p.VIEW_MOST_US + 1), "a"))
+
+
+def test_a_unit_counts_in_every_group_it_lies_in() -> None:
+    places = {"a": place("a", "z1", cell="0"), "b": place("b", "z1", cell="1"), "c": place("c", "z2", cell="0")}
+    limits = (Limit("zone", most_out=1), Limit("cell", only="0", least_serving=1))
+    now = p.Fleet(places, {n: well(n) for n in "abc"}, {"a": p.Permit("a", "1", "x")}, limits)
+    assert "zone z1" in str(p.ask(now, "b")) and "cell 0" in str(p.ask(now, "c"))
+    moved = replace(now, places={**places, "a": place("a", "z9", cell="9")})
+    assert p.ask(moved, "b") is None, "a unit that changed cell while out counts where it is now"
+
+
+def test_a_group_of_one_can_never_go_when_one_must_serve() -> None:
+    now = fleet("a", (Limit("zone", least_serving=1),))
+    no = p.ask(now, "a")
+    assert no is not None and not no.again_us and p.never(now.places.values(), now.limits, ["a", "x"]) == [
+        f"a: {no.reason}", "x: there is no such unit"]
+
+
+def test_limits_lowered_below_what_is_out_give_nothing_and_are_told() -> None:
+    now = replace(fleet(), limits=(Limit("all", most_out=2),), permits={n: p.Permit(n, "1", "x") for n in "ab"})
+    lowered = replace(now, limits=(Limit("all", most_out=1),))
+    assert p.ask(lowered, "c") is not None and p.broken(lowered) and not p.broken(now)
+
+
+def test_what_is_left_must_carry_the_load() -> None:
+    statuses = {n: well(n, load=5.0, room=8.0) for n in "abc"}
+    now = replace(fleet("abc"), statuses=statuses)
+    assert "load 15, room without it 14.4" in str(p.ask(now, "a"))
+    assert p.ask(replace(now, statuses={n: well(n, load=4.0, room=8.0) for n in "abc"}), "a") is None
+
+
+def test_a_permit_ends_when_another_start_is_well_and_not_before() -> None:
+    permit = p.Permit("a", "1", "x", number=3)
+    assert not p.is_back(permit, None) and not p.is_back(permit, well("a", epoch="1"))
+    assert not p.is_back(permit, p.Status("a", "2", "cold")) and p.is_back(permit, well("a", epoch="2"))
+    assert p.is_back(permit, p.Status("a", "1", "well", done=3)), "undrained, not restarted"
+
+
+LIMITS = st.lists(st.builds(Limit, st.sampled_from(["all", "zone", "cell"]), most_out=st.integers(0, 3)), max_size=3)
+STANDINGS = st.sampled_from(["well", "well", "well", "cold", "failing", None])
+
+
+@given(LIMITS, st.lists(st.tuples(st.sampled_from("xy"), st.sampled_from("01"), STANDINGS), min_size=1, max_size=8),
+       st.integers(0, 2**32))
+def test_drawn_grants_never_go_past_a_limit(limits: list[Limit], rows: list[tuple[str, str, p.Standing | None]],
+                                            seed: int) -> None:
+    """A second reckoning, group by group: each grant leaves every group of the unit within its limit."""
+    names = [f"u{n}" for n in range(len(rows))]
+    places = {n: place(n, zone, cell=cell) for n, (zone, cell, _) in zip(names, rows, strict=True)}
+    statuses = {n: p.Status(n, "1", s) for n, (_, _, s) in zip(names, rows, strict=True) if s is not None}
+    now, rng = p.Fleet(places, statuses, {}, tuple(limits)), random.Random(seed)
+    for name in rng.sample(names, len(names)):
+        if p.ask(now, name) is not None:
+            continue
+        now = replace(now, permits={**now.permits, name: p.Permit(name, "1", "x")})
+        for limit in limits:
+            key = places[name].groups.get(limit.group, "")
+            same = [n for n in names if limit.group == "all" or places[n].groups.get(limit.group) == key]
+            missing = [n for n in same if n in now.permits or n not in statuses or statuses[n].standing != "well"]
+            assert len(missing) <= (limit.most_out or 0) or limit.most_out is None
+
+
+# --- the permits' protocol, every order of events
+
+def explore(counts_accidents: bool) -> str:
+    """Three units, two askers' turns, accidents and recoveries in every order; what breaks, or nothing."""
+    names, limit = "abc", (Limit("all", most_out=1),)
+    first: tuple[tuple[str, ...], tuple[str, ...]] = ((), ())  # permits, accidents
+    seen, front = {first}, [first]
+    while front:
+        permits, ill = front.pop()
+        told = () if not counts_accidents else ill
+        now = p.Fleet({n: place(n) for n in names}, {n: well(n) for n in names if n not in told},
+                      {n: p.Permit(n, "1", "x") for n in permits}, limit)
+        following = []
+        for name in names:
+            if name not in permits and p.ask(now, name) is None:
+                if len({*permits, *ill, name}) > 1 and name not in ill:
+                    return f"{name} let go while {permits} have permits and {ill} are out by accident"
+                following.append(((*permits, name), ill))
+            if name in permits and name not in ill:
+                following.append((tuple(n for n in permits if n != name), ill))
+            following.append((permits, tuple(n for n in ill if n != name) if name in ill else (*ill, name)))
+        for state in ((tuple(sorted(a)), tuple(sorted(b))) for a, b in following):
+            if state not in seen:
+                seen.add(state)
+                front.append(state)
+    assert len(seen) > 20
+    return ""
+
+
+def test_no_order_of_grants_and_accidents_lets_too_many_go() -> None:
+    assert explore(True) == ""
+    assert "out by accident" in explore(False), "without counting accidents there is a way"
+
+
+# --- plans
+
+class Played:
+    """A fleet whose units obey orders in drawn time, and whose owner may be another at each step."""
+
+    def __init__(self, seed: int, size: int, limits: tuple[Limit, ...], release: r.Release | None = None) -> None:
+        self.rng = random.Random(seed)
+        self.names = [f"u{n:03}" for n in range(size)]
+        places = {n: place(n, "xyz"[at % 3], cell=str(at % 5)) for at, n in enumerate(self.names)}
+        self.fleet = p.Fleet(places, {n: well(n, epoch=f"{n}.0") for n in self.names}, {}, limits)
+        self.orders: dict[str, r.Order] = {}
+        self.due: dict[str, int] = {}
+        self.now = S
+        plan = r.PlanFile("v2", "v1", tuple(self.names), settle_s=5, start_s=60)
+        self.release = release or r.begin("r", plan, places)
+        self.most = 0
+        self.never: set[str] = set()  # versions that do not start
+
+    def status(self, name: str, row: p.Status | None) -> None:
+        rows = dict(self.fleet.statuses)
+        rows.pop(name, None)
+        if row is not None:
+            rows[name] = row
+        self.fleet = replace(self.fleet, statuses=rows)
+
+    def tick(self) -> None:
+        self.now += S
+        for name, due in list(self.due.items()):
+            if self.now >= due:
+                order = self.orders[name]
+                if order.version in self.never:
+                    self.status(name, p.Status(name, f"{name}.{order.number}", "stopped", order.version, order.number,
+                                               "it did not start"))
+                else:
+                    self.status(name, well(name, order.version, f"{name}.{order.number}"))
+                del self.due[name]
+        for step in r.steps(self.release, self.fleet, self.orders, self.now, 7, "s"):
+            match step:
+                case r.Keep(release):
+                    self.release = release
+                case r.Close(name):
+                    self.fleet = replace(self.fleet, permits={
+                        n: row for n, row in self.fleet.permits.items() if n != name})
+                case r.Grant(name, order, permit):
+                    assert order.number == (self.orders[name].number if name in self.orders else 0) + 1
+                    self.fleet = replace(self.fleet, permits={**self.fleet.permits, name: permit})
+                    self.orders[name] = order
+                    self.due[name] = self.now + self.rng.randint(1, 8) * S
+                    self.status(name, p.Status(name, permit.epoch, "draining"))
+                    assert not p.broken(self.fleet), p.broken(self.fleet)
+        self.most = max(self.most, len(self.fleet.permits))
+
+    def until(self, phase: str, ticks: int = 5_000) -> None:
+        for _ in range(ticks):
+            if self.release.phase == phase:
+                return
+            self.tick()
+        raise AssertionError(f"not {phase}: {self.release.phase} wave {self.release.wave} {self.release.why}")
+
+    def versions(self) -> set[str]:
+        return {row.version for row in self.fleet.statuses.values()}
+
+
+@pytest.mark.parametrize("size", [1, 3, 20, 60])
+def test_a_release_ends_and_keeps_the_limits(size: int) -> None:
+    played = Played(size, size, (Limit("all", most_out=6), Limit("zone", most_out=2)))
+    played.until("done")
+    assert played.versions() == {"v2"} and played.most <= 6
+
+
+def test_a_release_can_be_taken_back_from_the_middle_of_a_step() -> None:
+    for at in range(1, 90, 7):
+        played = Played(at, 20, (Limit("all", most_out=3),))
+        for _ in range(at):
+            played.tick()
+        told = r.told(played.release, "back", "no")
+        assert isinstance(told, r.Release)
+        played.release = told
+        played.until("back")
+        assert played.versions() == {"v1"}
+
+
+def test_a_version_that_never_starts_halts_and_goes_back() -> None:
+    played = Played(1, 12, (Limit("all", most_out=1),))
+    played.never = {"v2"}
+    played.until("halted")
+    assert "did not start" in played.release.why and sum(
+        row.version == "v2" for row in played.fleet.statuses.values()) == 1
+    played.release = r.told(played.release, "back", "")  # type: ignore[assignment]
+    played.until("back")
+    assert played.versions() == {"v1"}
+
+
+def test_a_release_waits_while_accidents_use_the_limit_up() -> None:
+    played = Played(2, 9, (Limit("all", most_out=1),))
+    played.status("u008", None)
+    for _ in range(30):
+        played.tick()
+    assert not played.fleet.permits and played.release.phase == "running"
+    played.status("u008", well("u008", epoch="later"))
+    played.until("done")
+
+
+def test_waves_grow_and_spread() -> None:
+    waves = Played(1, 60, ()).release.waves
+    assert [len(wave) for wave in waves[:2]] == [1, 3] and sum(map(len, waves)) == 60
+    zones = ["xyz"[int(name[1:]) % 3] for name in waves[2]]
+    assert max(zones.count(zone) for zone in "xyz") <= len(zones) // 2
+
+
+@pytest.mark.parametrize(("phase", "word"), [("done", "halt"), ("running", "resume"), ("abandoned", "back")])
+def test_words_that_make_no_sense_are_refused(phase: r.Phase, word: str) -> None:
+    release = msgspec.structs.replace(Played(1, 3, ()).release, phase=phase)
+    assert isinstance(r.told(release, word, ""), str)
+
+
+# --- verdicts
+
+def play_windows(seed: int, base: float, factor: float, windows: int, released: int = 100, others: int = 400) -> int:
+    """Requests of the released until the halt; 0 when there was none. Every fifth window is a bad hour for both."""
+    rng, trial = random.Random(seed), Trial()
+    for number in range(windows):
+        rate = base * (5 if number % 5 == 4 else 1)
+        bad = sum(rng.random() < min(rate * factor, 1) for _ in range(released))
+        trial = window(trial, Counts(released, bad), Counts(others, sum(rng.random() < rate for _ in range(others))))
+        if trial.halts:
+            return trial.seen
+    return 0
+
+
+def test_a_good_version_is_hardly_ever_halted_and_a_bad_one_soon() -> None:
+    assert sum(bool(play_windows(seed, 0.01, 1.0, 40)) for seed in range(300)) <= 2
+    found = sorted(play_windows(seed, 0.01, 6.0, 100) for seed in range(20))
+    assert found[0] > 0 and found[10] <= 1_000
+
+
+def test_a_bad_hour_for_all_says_nothing() -> None:
+    trial = Trial()
+    for _ in range(50):
+        trial = window(trial, Counts(100, 60), Counts(400, 240))
+    assert trial.against < 1
+
+
+# --- the unit's program
+
+FILE = u.UnitFile("a", "dispatcher", "f", ("v1", "v2"), ("run",), "state")
+
+
+def carry_out(state: u.State, now: int, commands: tuple[u.Command, ...], deaths: list[int], log: list[str],
+              kill_at: int) -> u.State:
+    """Run commands to their end; the program is killed before the one numbered `kill_at` and starts anew."""
+    todo = list(commands)
+    while todo:
+        command = todo.pop(0)
+        if len(log) == kill_at and not deaths:
+            deaths.append(now)
+            state, again = u.first(u.State(FILE, state.memory), now, bool(log) and log[-1] != "stop"
+                                   and any(row in ("start", "up") for row in log))
+            todo = list(again)
+            continue
+        if isinstance(command, u.Remember):
+            state = u._with(state, memory=command.memory)
+            continue
+        log.append(command.what)
+        state, more = u.step(state, now, u.Ended(command.what, 0))
+        todo += more
+    return state
+
+
+def test_an_order_is_carried_out_once_wherever_its_program_is_killed() -> None:
+    for kill_at in range(2, 8):
+        log: list[str] = []
+        state, commands = u.first(u.State(FILE, u.Memory("v1")), 0, False)
+        state = carry_out(state, 0, commands, [0], log, -1)
+        order = r.Order(1, "go", "v2", "release", 5)
+        deaths: list[int] = []
+        state, commands = u.step(state, S, u.Ordered(order))
+        state = carry_out(state, S, commands, deaths, log, kill_at)
+        state, _ = u.step(state, S, u.Ended("check", 0))  # as the program looks every so often
+        assert state.memory.done == 1 and state.memory.version == "v2" and state.standing == "well"
+        assert log.count("stop") <= 2 and log[-1] == "check"
+        again, none = u.step(state, 2 * S, u.Ordered(order))
+        assert again == state and not none, "the same order once more"
+        _, none = u.step(state, 2 * S, u.Ordered(r.Order(2, "go", "v1", "release", 4)))
+        assert not none, "a lower fence"
+
+
+def test_a_version_that_is_not_here_is_refused_and_nothing_stopped() -> None:
+    state = u.State(FILE, u.Memory("v1", stage="idle"), alive=True, standing="well")
+    state, commands = u.step(state, 0, u.Ordered(r.Order(1, "go", "v9", "release", 5)))
+    assert state.memory.refused and state.memory.done == 1 and not [c for c in commands if isinstance(c, u.Do)]
+
+
+def test_what_crashes_is_started_again_with_growing_pauses() -> None:
+    state, gaps = u.State(FILE, u.Memory("v1", stage="idle"), alive=True, standing="well"), []
+    now = 0
+    for _ in range(5):
+        state, _ = u.step(state, now, u.Died())
+        died = now
+        again, commands = u.step(state, now, u.Tick(False))
+        while not commands:
+            now += 50_000
+            again, commands = u.step(state, now, u.Tick(False))
+        gaps.append(now - died)
+        state = u._with(again, memory=msgspec.structs.replace(again.memory, stage="idle"), alive=True)
+    assert gaps == sorted(gaps) and gaps[-1] >= 8 * gaps[0]
--- a/yardspindle/runtime/service.py
+++ b/yardspindle/runtime/service.py
@@ -16,6 +16,8 @@
 from yardspindle.runtime.real import RealWorld
 from yardspindle.runtime.scheduler import DeadlineExceeded
 
+MARK = "YARDSPINDLE_UNIT"  # environment variable
+
 
 def born(pid: int) -> int:
     """When a process started, in the kernel's ticks; 0 when there is none, or only its remains."""
@@ -36,12 +38,26 @@
         self._world, self.pid, self.started, self._process = world, pid, started, process
 
     @classmethod
-    def start(cls, world: RealWorld, argv: Sequence[str], log_path: str) -> Service:
-        """Start it in a session of its own, output appended to a file. Raises OSError."""
+    def start(cls, world: RealWorld, argv: Sequence[str], log_path: str, mark: str) -> Service:
+        """Start it in a session of its own, output appended to a file, its mark in its environment. Raises OSError."""
         with open(log_path, "ab") as log:
-            process = subprocess.Popen(argv, stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True)
+            process = subprocess.Popen(argv, stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True,
+                                       env={**os.environ, MARK: mark})
         return cls(world, process.pid, born(process.pid), process)
 
+    @classmethod
+    def find(cls, world: RealWorld, mark: str) -> Service | None:
+        """One that was started with a mark, by a program that was killed before it could write its id down."""
+        wanted, found = f"{MARK}={mark}".encode(), []
+        for name in os.listdir("/proc"):
+            with contextlib.suppress(OSError):
+                if name.isdigit():
+                    with open(f"/proc/{name}/environ", "rb") as file:
+                        marked = wanted in file.read().split(b"\0")
+                    if marked and (started := born(int(name))):
+                        found.append((started, int(name)))  # its own children carry the mark too: the oldest is it
+        return cls(world, min(found)[1], min(found)[0]) if found else None
+
     def alive(self) -> bool:
         """Whether it still runs."""
         if self._process is not None and self._process.poll() is not None:
--- a/yardspindle/unit/app.py
+++ b/yardspindle/unit/app.py
@@ -163,13 +163,18 @@
             case "start":
                 argv = [part.replace("{version}", self.state.memory.version) for part in stage.run]
                 try:
-                    self.service = Service.start(self.world, argv, self.file.state + ".log")
+                    self.service = (Service.find(self.world, self._mark())
+                                    or Service.start(self.world, argv, self.file.state + ".log", self._mark()))
                     self._remember(self.state.memory)
                     self._feed(u.Ended("start", 0))
                 except OSError as error:
                     log.error("the unit cannot be started", reason=str(error))
                     self._feed(u.Ended("start", 127))
 
+    def _mark(self) -> str:
+        """Sets this start of the unit apart: a crash's restart has another one than the order's start."""
+        return f"{os.path.abspath(self.file.state)} {self.state.memory.number} {self.state.crashes}"
+
     def _command(self, command: Sequence[str], seconds: float) -> int | None:
         """A command's exit code, None when its time is up; a first line of JSON is taken as figures."""
         argv = [part.replace("{version}", self.state.memory.version) for part in command]
