--- a/tests/fleet_scenarios.py
+++ b/tests/fleet_scenarios.py
@@ -8,6 +8,8 @@
 from tests.fleet_check import check
 from tests.processes import Processes, S
 
+DUTIES = 3  # clock, release and the sweep of one cell
+
 
 def small(p: Processes, stewards: int = 3) -> None:
     p.store()
@@ -44,9 +46,15 @@
 def ready(p: Processes, stewards: int = 3) -> tuple[str, int]:
     """A small fleet with an owner of the sweep, a held state in r0, and its edge's epoch."""
     small(p, stewards)
-    owner = p.until("an owner", lambda: p.owner("sweep/0"))
     p.until("the edge", lambda: "edge/edge0" in p.rows("members/"))
-    return owner
+
+    def spread() -> bool:  # from then on nothing changes hands by itself
+        names = [row["name"] for row, _ in p.rows("duties/").values()]
+        held = [names.count(f"s{number}") for number in range(stewards)]
+        return len(names) == DUTIES and max(held) - min(held) < 2
+
+    p.until("duties are spread", spread, 30 * S)
+    return p.until("an owner", lambda: p.owner("sweep/0"))
 
 
 def hold_a_state(p: Processes) -> str:
