Play seeded worlds of releases; tell starts apart, and halt on units that keep ending

Unit programs run on the virtual World now: what runs the unit is behind one seam, files pass the World. Worlds of three stewards and six units draw deaths, stalls, cuts, crashes of units, lost and late answers and leases ended early, and versions that do not start or end after a while; at every grant a second reckoning of who is out, each start made once, and the release ends or is taken back.

The first six found two faults: a unit's starts were told apart by a count of crashes that a good check set back, so that two starts had one mark; and a version that ends by itself every few seconds was released everywhere, since each check between was good. Starts are numbered for good, and two ends of one released unit halt the release.

--- a/yardspindle/cli/unit.py
+++ b/yardspindle/cli/unit.py
@@ -13,6 +13,7 @@
 from yardspindle.fleet.store.open import open_store
 from yardspindle.runtime.real import RealWorld
 from yardspindle.unit.app import Unit
+from yardspindle.unit.hands import ProcessHands
 
 
 @click.command("unit")
@@ -36,7 +37,8 @@
     def start() -> str:
         try:
             store = open_store(world, config.fleet)
-            running.append(Unit(world, unit_file, config.fleet, store, version("yardspindle")))
+            running.append(Unit(world, unit_file, config.fleet, store, version("yardspindle"),
+                                ProcessHands(world, unit_file)))
         except (StoreError, OSError) as error:
             raise ConfigError(f"{unit_file.fleet}: fleet.store: {error}") from None
         except ValueError as error:
--- a/yardspindle/core/fleet/permits.py
+++ b/yardspindle/core/fleet/permits.py
@@ -43,6 +43,7 @@
     room: float = 0.0  # what it can carry of that
     served: int = 0  # counts since its start, for comparisons
     bad: int = 0
+    crashed: int = 0  # times that it ended by itself since its last order
 
 
 class Permit(Struct, frozen=True):
--- a/yardspindle/core/fleet/release_plan.py
+++ b/yardspindle/core/fleet/release_plan.py
@@ -21,6 +21,7 @@
 Phase = Literal["running", "halted", "going back", "done", "back", "abandoned"]
 FIRST_WAVE = 1  # a single unit shows a version that does not start at all
 ZONE_WAVE = 3  # then a few of one zone: what is wrong with the place shows in one place
+CRASHES_MOST = 2  # of one released unit before a release halts: one may be chance
 LAST_WAVES_SHARE = 0.25  # then by share
 
 
@@ -177,6 +178,10 @@
     """Why a release halts by itself, or nothing."""
     if release.trial.halts:
         return f"released units do worse than the others (evidence {release.trial.against:.0f} to 1)"
+    for unit in (unit for wave in release.waves for unit in wave):
+        status = fleet.statuses.get(unit)
+        if status is not None and status.version == release.version and status.crashed >= CRASHES_MOST:
+            return f"{unit} ended by itself {status.crashed} times"
     for unit, permit in fleet.permits.items():
         if permit.release != release.id or unit not in fleet.places:
             continue
--- a/yardspindle/core/fleet/unit.py
+++ b/yardspindle/core/fleet/unit.py
@@ -53,6 +53,8 @@
     fence: int = 0  # the highest obeyed
     refused: str = ""
     drained: bool = False  # it stays drained, and is up
+    starts: int = 0  # so many were begun: sets one start apart from every other
+    crashed: int = 0  # times that it ended by itself since the last order
     pid: int = 0  # what runs
     born: int = 0  # and when it started, by the machine: a process id comes again
 
@@ -141,10 +143,12 @@
             return _checked(state, now_us, code)
         case Died():
             pause_us = min(PAUSE_FIRST_US << min(state.crashes, 10), PAUSE_MOST_US)
-            down = _with(state, alive=False, standing="stopped", crashes=state.crashes + 1, again_us=now_us + pause_us)
+            memory = replace(memory, crashed=memory.crashed + 1)
+            down = _with(state, memory=memory, alive=False, standing="stopped", crashes=state.crashes + 1,
+                         again_us=now_us + pause_us)
             if memory.stage == "checking":
                 return _failed(down, now_us, f"version {memory.version} ended by itself")
-            return down, ()
+            return down, (Remember(memory),)
         case Tick(permit):
             # What crashed is started again: within its permit while it is out, else because it is meant to run.
             if not state.alive and memory.stage == "idle" and now_us >= state.again_us and (
@@ -161,7 +165,9 @@
             return state, (Do("drain"),)
         case "stopping" if alive:
             return state, (Do("stop"),)
-        case "stopping" | "starting" if not alive:
+        case "starting" if not alive:
+            return state, (Do("start"),)  # the same start: if it was made, it is found by its mark
+        case "stopping":
             return _stage(state, now_us, "starting", Do("start"))
         case "starting" | "checking":
             return _stage(state, now_us, "checking", Do("check"))
@@ -173,7 +179,7 @@
 
 
 def _stage(state: State, now_us: int, stage: Stage, do: Do) -> tuple[State, tuple[Command, ...]]:
-    memory = replace(state.memory, stage=stage)
+    memory = replace(state.memory, stage=stage, starts=state.memory.starts + (stage == "starting"))
     return _with(state, memory=memory, since_us=now_us), (Remember(memory), do)
 
 
@@ -187,22 +193,23 @@
     fences = Fences({order.duty: memory.fence})
     if order.number <= memory.number or not fences.admits(order.duty, order.fence):
         return state, ()  # carried out before, or of an owner who was replaced
-    memory = replace(memory, number=order.number, fence=order.fence, refused="", drained=order.do == "drain")
+    memory = replace(memory, number=order.number, fence=order.fence, refused="", drained=order.do == "drain", crashed=0)
     if order.do == "go" and order.version not in state.file.versions:
         memory = replace(memory, done=order.number, refused=f"version {order.version} is not here")
         return _with(state, memory=memory), (Remember(memory),)
     if order.do == "undrain":
-        memory = replace(memory, stage="checking" if state.alive else "starting")
-        return _with(state, memory=memory, since_us=now_us), (
-            Remember(memory), Do("check" if state.alive else "start"))
+        ordered = _with(state, memory=memory)
+        if state.alive:
+            return _stage(ordered, now_us, "checking", Do("check"))
+        return _stage(ordered, now_us, "starting", Do("start"))
     if order.do == "go":
         memory = replace(memory, version=order.version)
-    if not state.alive:
-        memory = replace(memory, stage="starting" if order.do == "go" else "idle")
-        return _with(state, memory=memory, since_us=now_us), (
-            Remember(memory), *((Do("start"),) if order.do == "go" else ()))
-    memory = replace(memory, stage="draining")
-    return _with(state, memory=memory, since_us=now_us, standing="draining"), (Remember(memory), Do("drain"))
+    ordered = _with(state, memory=memory)
+    if state.alive:
+        return _stage(_with(ordered, standing="draining"), now_us, "draining", Do("drain"))
+    if order.do == "go":
+        return _stage(ordered, now_us, "starting", Do("start"))
+    return _stay(ordered, now_us)
 
 
 def _checked(state: State, now_us: int, code: int | None) -> tuple[State, tuple[Command, ...]]:
--- /dev/null
+++ b/yardspindle/lab/release_worlds.py
@@ -0,0 +1,286 @@
+"""Seeded worlds of releases: store, stewards and unit programs on the virtual World, units that outlive their programs.
+
+At every grant a second reckoning from the store's rows alone: permits, and whoever has been out by accident for a
+moment, within the limit. Each order starts its unit once. After the last fault the release ends, or halts and is taken
+back; then every unit runs one version and nothing is out.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from yardspindle.core.config import Config, Limit, parse
+from yardspindle.core.fleet import release_plan as r
+from yardspindle.core.fleet.members import Keys
+from yardspindle.core.fleet.release_keys import Entry, UnitKeys, Units
+from yardspindle.core.fleet.unit import UnitFile
+from yardspindle.fleet.store.open import open_store
+from yardspindle.lab.etcd import EtcdStandIn
+from yardspindle.lab.fleet import to_toml
+from yardspindle.runtime.virtual import Simulation, VirtualWorld
+from yardspindle.steward.app import Steward
+from yardspindle.unit.app import Unit
+
+HOST, STORE = "127.0.0.1", "store"
+STEWARDS, UNITS = ("s0", "s1", "s2"), tuple(f"u{n}" for n in range(6))
+MOST_OUT = 2
+LIMITS = (Limit("all", most_out=MOST_OUT), Limit("zone", most_out=1))
+SEEN_US = 1_500_000  # an accident that old has been seen by whoever lets somebody go
+LOOK_US, ENDS_US = 50_000, 400_000_000
+GOOD, NEVER, FRAIL = "good", "never", "frail"  # versions: the second does not start, the third ends soon after
+
+
+class Machine:
+    """What runs of a unit: it outlives the unit's program, and its crashes are accidents."""
+
+    def __init__(self, sim: Simulation, name: str) -> None:
+        """Nothing runs."""
+        self.sim, self.name = sim, name
+        self.version, self.mark, self.number, self.up_us = "", "", 0, 0
+        self.running = False
+        self.starts: Counter[str] = Counter()
+
+    def crash(self) -> None:
+        """It ends by itself."""
+        self.running = False
+
+
+class VirtualHands:
+    """See Hands: the commands take virtual time."""
+
+    def __init__(self, world: VirtualWorld, machine: Machine) -> None:
+        """For one start of the unit's program."""
+        self._world, self._m = world, machine
+        self._known = (0, 0)
+
+    def adopt(self, pid: int, born: int) -> None:
+        """See Hands."""
+        self._known = (pid, born)
+
+    def id(self) -> tuple[int, int]:
+        """See Hands."""
+        return self._known
+
+    def alive(self) -> bool:
+        """See Hands."""
+        if self._m.running and self._m.version == FRAIL and self._m.sim.now_us() - self._m.up_us > 3_000_000:
+            self._m.crash()
+        return self._m.running and self._known == (self._m.number, 1)
+
+    def _takes(self, most_us: int) -> None:
+        self._world.sleep_until(self._world.now_us() + self._m.sim.random(
+            f"takes {self._m.name} {self._m.sim.drawn('takes')}").randrange(most_us))
+
+    def start(self, version: str, mark: str) -> int:
+        """See Hands."""
+        if not (self._m.running and self._m.mark == mark):
+            self._m.starts[mark] += 1
+            self._m.number += 1
+            self._m.version, self._m.mark, self._m.running = version, mark, version != NEVER
+            self._m.up_us = self._m.sim.now_us()
+        self._known = (self._m.number, 1)
+        return 0
+
+    def stop(self) -> None:
+        """See Hands."""
+        self._takes(1_000_000)
+        self._m.running = False
+
+    def drain(self, version: str) -> int | None:
+        """See Hands."""
+        self._takes(1_500_000)
+        return 0
+
+    def check(self, version: str) -> tuple[int | None, bytes]:
+        """See Hands."""
+        self._takes(200_000)
+        return (0 if self._m.sim.now_us() - self._m.up_us > 800_000 else 1) if self._m.running else 2, b""
+
+
+class ReleaseWorld:
+    """One run."""
+
+    def __init__(self, seed: int) -> None:
+        """Nothing has started."""
+        self.rng = random.Random(f"release {seed}")
+        self.sim = Simulation(seed)
+        self.found: list[str] = []
+        self.counts: Counter[str] = Counter()
+        self.machines = {name: Machine(self.sim, name) for name in UNITS}
+        self.keys = UnitKeys(Keys("main"))
+        self.version = self.rng.choice([GOOD, GOOD, GOOD, NEVER, FRAIL])
+        self._ill_since: dict[str, int] = {}
+        self._permits: set[str] = set()
+
+    def play(self) -> tuple[str, ...]:
+        """What broke."""
+        try:
+            self.sim.run("release world", self._program)
+        except RuntimeError as error:
+            self.found.append(f"liveness: {error}")
+        return tuple(dict.fromkeys([*self.found, *(f"crash: {text}" for text in self.sim.crashes)]))
+
+    def _config(self, name: str) -> Config:
+        limits = [{"group": row.group, "most_out": row.most_out} for row in LIMITS]
+        return parse("world", to_toml({"release": {"limit": limits}, "planner": {"servers": "servers.toml"}, "fleet": {
+            "store": [f"http://{HOST}:{self.port}"], "ttl_ms": 2_000.0, "margin_ms": 200.0, "call_ms": 400.0,
+            "member": name}}))
+
+    def start(self, name: str) -> None:
+        """Start a program."""
+        world = self.sim.program(name)
+        fleet = self._config(name).fleet
+        store = open_store(world, fleet)
+        if name in STEWARDS:
+            Steward(world, self._config(name), store, "world").start()
+            return
+        groups: dict[Any, str] = {"zone": "abc"[int(name[1:]) % 3]}
+        file = UnitFile(name, "dispatcher", "f", ("old", GOOD, NEVER, FRAIL), ("run",), f"{name}.state", groups,
+                        start_s=6.0)
+        Unit(world, file, fleet, store, "world", VirtualHands(world, self.machines[name])).start()
+
+    def units(self) -> Units:
+        """What the store holds, straight from it."""
+        model = self.etcd.model
+        return self.keys.read({row.key: row for row in model.rows(self.keys.root, b"\0")})
+
+    def _until(self, what: str, look: Callable[[], bool], within_us: int = ENDS_US) -> bool:
+        until_us = self.sim.now_us() + within_us
+        while not look():
+            if self.sim.now_us() > until_us or self.found:
+                self.found.append(f"liveness: not seen: {what}")
+                return False
+            self.sim.scheduler.sleep_until(self.sim.now_us() + LOOK_US)
+        return True
+
+    def _program(self) -> None:
+        sim = self.sim
+        self.etcd = EtcdStandIn(sim.program(STORE))
+        self.etcd.note = self._noted  # type: ignore[method-assign]
+        _, self.port = self.etcd.start(HOST, sim.next_port())
+        sim.files["servers.toml"] = b"count = 0\n"
+        for name in UNITS + STEWARDS:
+            self.start(name)
+        sim.scheduler.spawn("ills", self._ills)
+        if not self._until("all are well", lambda: self._runs({"old"})):
+            return
+        places = self.units().places
+        release = r.begin("r", r.PlanFile(self.version, "old", settle_s=1.0, start_s=25.0), places)
+        self._say(release, "start")
+        faults = [sim.scheduler.spawn("fault", self._fault) for _ in range(self.rng.randint(0, 5))]
+        back_us = sim.now_us() + self.rng.randrange(40_000_000) if self.rng.random() < 0.3 else None
+        for task in faults:
+            task.join()
+        while back_us is not None and sim.now_us() < back_us:
+            sim.scheduler.sleep_until(sim.now_us() + LOOK_US)
+        if back_us is not None:
+            self._word("back")
+        ends = {"done", "back"}
+        if not self._until("the release's end", lambda: self._phase() in {*ends, "halted"}):
+            return
+        for _ in range(4):  # a halt is answered by the way back, and again if that one halts
+            if self._phase() == "halted":
+                self.counts["halts"] += 1
+                self._word("back")
+                self._until("the way back", lambda: self._phase() in {*ends, "halted"})
+        target = {"done": self.version, "back": "old"}.get(self._phase(), "")
+        self._until(f"all run {target}", lambda: self._runs({target}) and not self.units().permits)
+        self.counts[f"{self.version} {self._phase()}"] += 1
+        for name, machine in self.machines.items():
+            self.found += [f"once: {name} started {times} times for {mark}" for mark, times in machine.starts.items()
+                           if times > 1]
+
+    def _phase(self) -> str:
+        release = self.units().release
+        return release.phase if release is not None else ""
+
+    def _runs(self, versions: set[str]) -> bool:
+        statuses = self.units().statuses
+        return len(statuses) == len(UNITS) and all(
+            row.standing == "well" and row.version in versions for row in statuses.values())
+
+    def _say(self, release: r.Release, what: str) -> None:
+        txn = self.keys.say(self.units(), release, Entry(self.sim.now_us(), "ana", what))
+        if not self.etcd.model.txn(txn).succeeded:
+            self.found.append(f"say: {what} was not taken")
+        self.etcd._tell()
+
+    def _word(self, word: str) -> None:
+        release = self.units().release
+        told = r.told(release, word, "") if release is not None else "none"
+        if isinstance(told, r.Release):
+            self._say(told, word)
+
+    # --- faults
+
+    def _fault(self) -> None:
+        sim, rng = self.sim, self.rng
+        at, lasts = rng.randrange(30_000_000), rng.randrange(50_000, 6_000_000)
+        kind = rng.choice(["dies", "dies", "stalls", "cut", "crash", "crash", "no leader", "late", "lost", "expire"])
+        name = rng.choice(STEWARDS + UNITS)
+        sim.scheduler.sleep_until(sim.now_us() + at)
+        world = sim.programs[name]
+        self.counts[kind] += 1
+        undo: Callable[[], None] = lambda: None  # noqa: E731
+        match kind:
+            case "dies" if world.alive:
+                world.kill()
+                undo = lambda: self.start(name)  # noqa: E731
+            case "stalls" if world.alive and not world.gate.shut:
+                world.stall()
+                undo = world.resume
+            case "cut":
+                sim.network.cut(name, STORE)
+                undo = lambda: sim.network.join(name, STORE)  # noqa: E731
+            case "crash":
+                self.machines[rng.choice(UNITS)].crash()
+            case "no leader":
+                self.etcd.leaderless = True
+                undo = lambda: setattr(self.etcd, "leaderless", False)  # noqa: E731
+            case "late":
+                self.etcd.late_us = 300_000
+                undo = lambda: setattr(self.etcd, "late_us", 0)  # noqa: E731
+            case "lost":
+                self.etcd.lose += 3
+            case "expire":
+                self.etcd.command("expire")
+        sim.scheduler.sleep_until(sim.now_us() + lasts)
+        undo()
+
+    # --- rules
+
+    def _ills(self) -> None:
+        """Since when each unit has been out by accident, by the store's rows."""
+        while True:
+            now, units = self.sim.now_us(), self.units()
+            for name in UNITS:
+                status = units.statuses.get(name)
+                if name in units.permits or (status is not None and status.standing == "well"):
+                    self._ill_since.pop(name, None)
+                else:
+                    self._ill_since.setdefault(name, now)
+            self.sim.scheduler.sleep_until(now + LOOK_US)
+
+    def _noted(self, event: str, **more: Any) -> None:
+        """After each call of the store: a new permit must be within the limits."""
+        permits = set(self.units().permits)
+        new, self._permits = permits - self._permits, permits
+        now = self.sim.now_us()
+        for name in new:
+            self.counts["grants"] += 1
+            ill = {unit for unit, since in self._ill_since.items() if now - since > SEEN_US} - permits
+            gone = permits | ill
+            zone = {unit for unit in gone if int(unit[1:]) % 3 == int(name[1:]) % 3}
+            if len(gone) > MOST_OUT or len(zone) > 1:
+                self.found.append(f"limit: {name} let go with {sorted(permits - {name})} out, {sorted(ill)} ill")
+
+
+def play_release(seed: int) -> tuple[tuple[str, ...], Counter[str]]:
+    """What broke in a world, and what it met."""
+    world = ReleaseWorld(seed)
+    return world.play(), world.counts
+
+
--- a/yardspindle/runtime/real.py
+++ b/yardspindle/runtime/real.py
@@ -288,6 +288,16 @@
         finally:
             os.close(descriptor)
 
+    def replace_file(self, path: str, data: bytes) -> None:
+        """See World."""
+        descriptor = os.open(path + ".new", os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
+        try:
+            os.write(descriptor, data)
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        os.replace(path + ".new", path)
+
     def machine_us(self) -> int:
         """See World."""
         return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000
--- a/yardspindle/runtime/virtual.py
+++ b/yardspindle/runtime/virtual.py
@@ -262,6 +262,11 @@
         if self.sim.on_append is not None:
             self.sim.on_append(path, data)
 
+    def replace_file(self, path: str, data: bytes) -> None:
+        """See World."""
+        if self.alive:
+            self.sim.files[path] = data
+
     def machine_us(self) -> int:
         """See World."""
         return self.sim.now_us()
--- a/yardspindle/runtime/world.py
+++ b/yardspindle/runtime/world.py
@@ -153,6 +153,9 @@
     def append_file(self, path: str, data: bytes) -> None:
         """Append to a file at once, in one write. Raises OSError."""
 
+    def replace_file(self, path: str, data: bytes) -> None:
+        """Put a file's whole content in its place, on the disk before it returns: old or new, never a part."""
+
     def machine_us(self) -> int:
         """Microseconds since the machine started: one clock for all processes on it, which no step moves."""
 
--- a/yardspindle/unit/app.py
+++ b/yardspindle/unit/app.py
@@ -6,9 +6,8 @@
 
 from __future__ import annotations
 
-import os
-import signal
 from collections.abc import Sequence
+from typing import Protocol
 
 import msgspec
 import structlog
@@ -23,10 +22,7 @@
 from yardspindle.core.fleet.release_plan import Order
 from yardspindle.fleet.membership import Membership, Turns
 from yardspindle.fleet.store.interface import Store, StoreError
-from yardspindle.runtime.process import Child, ChildError
-from yardspindle.runtime.real import RealWorld
-from yardspindle.runtime.scheduler import DeadlineExceeded
-from yardspindle.runtime.service import Service
+from yardspindle.runtime.world import World
 
 LOOK_US = 200_000  # how often the order is read, and the unit looked at
 CHECK_US = 500_000  # between two checks
@@ -44,12 +40,38 @@
     bad: int = 0
 
 
+class Hands(Protocol):
+    """What runs a unit and its commands."""
+
+    def adopt(self, pid: int, born: int) -> None:
+        """What an earlier start of this program left running."""
+
+    def id(self) -> tuple[int, int]:
+        """Of what runs: process id and start; zeros for nothing."""
+
+    def alive(self) -> bool:
+        """Whether it runs."""
+
+    def start(self, version: str, mark: str) -> int:
+        """Start it, unless one with this mark runs; 0 when it was started."""
+
+    def stop(self) -> None:
+        """End it, and wait for its end."""
+
+    def drain(self, version: str) -> int | None:
+        """Wait until nothing runs in it; None when the time was up."""
+
+    def check(self, version: str) -> tuple[int | None, bytes]:
+        """How it is (0 well, 1 cold, else failing), and a line of figures."""
+
+
 class Unit:
     """One unit's program."""
 
-    def __init__(self, world: RealWorld, file: u.UnitFile, fleet: FleetConfig, store: Store, version: str) -> None:
+    def __init__(self, world: World, file: u.UnitFile, fleet: FleetConfig, store: Store, version: str,
+                 hands: Hands) -> None:
         """Nothing is started. Raises ValueError: the state file cannot be read."""
-        self.world, self.file, self.store = world, file, store
+        self.world, self.file, self.store, self.hands = world, file, store, hands
         self.keys = UnitKeys(Keys(fleet.name))
         try:
             memory = msgspec.json.decode(world.read_file(file.state), type=u.Memory)
@@ -58,7 +80,7 @@
         except msgspec.DecodeError as error:
             raise ValueError(f"{file.state}: {error}") from None
         self.state = u.State(file, memory)
-        self.service = Service(world, memory.pid, memory.born) if memory.pid else None
+        hands.adopt(memory.pid, memory.born)
         self.membership = Membership(world, fleet, store, "unit", file.name,
                                      f"{world.random('unit').getrandbits(48):012x}", file.groups.get("zone", ""),
                                      version, Turns(lambda lease, sent, ttl: None, lambda *kept: None,
@@ -74,8 +96,7 @@
     def start(self) -> str:
         """Register and begin. Raises OSError."""
         self.membership.start(*self._listen)
-        alive = self.service is not None and self.service.alive()
-        self._perform(*u.first(self.state, self.world.now_us(), alive))
+        self._perform(*u.first(self.state, self.world.now_us(), self.hands.alive()))
         self.world.spawn("orders", self._orders)
         self.world.spawn("watch", self._watch)
         self.world.spawn("tell", self._tell)
@@ -102,15 +123,10 @@
 
     def _remember(self, memory: u.Memory) -> None:
         """Written whole or not at all, before what it is about is done."""
-        if self.service is not None:
-            memory = replace(memory, pid=self.service.pid, born=self.service.started)
+        pid, born = self.hands.id()
+        memory = replace(memory, pid=pid, born=born)
         self.state = u._with(self.state, memory=memory)
-        fresh = self.file.state + ".new"
-        with open(fresh, "wb") as out:
-            out.write(msgspec.json.encode(memory))
-            out.flush()
-            os.fsync(out.fileno())
-        os.replace(fresh, self.file.state)
+        self.world.replace_file(self.file.state, msgspec.json.encode(memory))
 
     def _orders(self) -> None:
         key, permit = self.keys.of("orders", self.file.name), self.keys.of("permits", self.file.name)
@@ -132,68 +148,37 @@
         checked = 0
         while True:
             self.world.sleep_until(self.world.now_us() + LOOK_US // 2)
-            if self.state.alive and self.service is not None and not self.service.alive() \
-                    and self.state.memory.stage != "stopping":
-                log.warning("the unit ended by itself", pid=self.service.pid)
+            if self.state.alive and not self.hands.alive() and self.state.memory.stage != "stopping":
+                log.warning("the unit ended by itself", pid=self.state.memory.pid)
                 self._feed(u.Died())
             elif self.state.alive and not self._checking and self.world.now_us() - checked >= CHECK_US:
                 checked = self.world.now_us()
                 self._do("check")
 
     def _do(self, what: str) -> None:
-        stage = self.file
         match what:
             case "check":
                 self._checking = True
                 try:
-                    code = self._command(stage.check, stage.check_s) if stage.check else 0
+                    code, line = self.hands.check(self.state.memory.version)
                 finally:
                     self._checking = False
+                self._figures = read(line, Figures) or self._figures
                 self._feed(u.Ended("check", code))
             case "drain":
-                code = self._command(stage.drain, stage.drain_s) if stage.drain else 0
-                self._feed(u.Ended("drain", code))
+                self._feed(u.Ended("drain", self.hands.drain(self.state.memory.version)))
             case "stop":
-                if self.service is not None:
-                    self.service.send(signal.SIGTERM)
-                    if not self.service.wait(self.world.now_us() + round(stage.stop_s * 1e6)):
-                        self.service.send(signal.SIGKILL)
-                        self.service.wait(self.world.now_us() + round(stage.stop_s * 1e6))
+                self.hands.stop()
                 self._feed(u.Ended("stop", 0))
             case "start":
-                argv = [part.replace("{version}", self.state.memory.version) for part in stage.run]
-                try:
-                    self.service = (Service.find(self.world, self._mark())
-                                    or Service.start(self.world, argv, self.file.state + ".log", self._mark()))
+                code = self.hands.start(self.state.memory.version, self._mark())
+                if not code:
                     self._remember(self.state.memory)
-                    self._feed(u.Ended("start", 0))
-                except OSError as error:
-                    log.error("the unit cannot be started", reason=str(error))
-                    self._feed(u.Ended("start", 127))
+                self._feed(u.Ended("start", code))
 
     def _mark(self) -> str:
-        """Sets this start of the unit apart: a crash's restart has another one than the order's start."""
-        return f"{os.path.abspath(self.file.state)} {self.state.memory.number} {self.state.crashes}"
-
-    def _command(self, command: Sequence[str], seconds: float) -> int | None:
-        """A command's exit code, None when its time is up; a first line of JSON is taken as figures."""
-        argv = [part.replace("{version}", self.state.memory.version) for part in command]
-        until_us = self.world.now_us() + round(seconds * 1e6)
-        try:
-            child = Child(self.world, command[0], argv, self.file.state + ".log")
-        except OSError as error:
-            log.error("a command cannot be run", command=command[0], reason=str(error))
-            return 127
-        try:
-            line = child.first_line(round(seconds * 1e6))
-            self._figures = read(line.encode(), Figures) or self._figures
-        except (ChildError, DeadlineExceeded):
-            pass  # it printed nothing
-        code = child.wait(until_us)
-        if code is None:
-            child.send(signal.SIGKILL)
-            child.wait(self.world.now_us() + 1_000_000)
-        return code
+        """Sets this start of the unit apart from every other; the same when it is taken up again after a kill."""
+        return f"{self.file.state} {self.state.memory.starts}"
 
     # --- what is told
 
@@ -201,7 +186,7 @@
         """The unit as it is."""
         memory, figures = self.state.memory, self._figures
         return Status(self.file.name, f"{memory.pid}-{memory.born}", self.state.standing, memory.version, memory.done,
-                      memory.refused, figures.load, figures.room, figures.served, figures.bad)
+                      memory.refused, figures.load, figures.room, figures.served, figures.bad, memory.crashed)
 
     def _tell(self) -> None:
         """Under the lease, so that silence shows by itself; what matters at once, figures now and then."""
