--- /dev/null
+++ b/benchmarks/releases.py
@@ -0,0 +1,87 @@
+"""What a release costs and sees, by the decisions alone: requests until a halt, false halts, time and steps by size.
+
+Simulated counts and virtual seconds; no processes. Units take a drawn time to drain, stop, start and warm up.
+    python -m benchmarks.releases [RUNS]
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from dataclasses import replace
+
+from yardspindle.core.config import Limit
+from yardspindle.core.fleet import permits as p
+from yardspindle.core.fleet import release_plan as r
+from yardspindle.core.fleet.verdict import Counts, Trial, window
+
+S = 1_000_000
+MIXES = ((100, 400), (400, 100), (30, 30))  # requests of released and other units in a window
+LOOK_US = 100_000  # as the steward looks
+
+
+def until_halt(seed: int, base: float, more: float, mix: tuple[int, int], windows: int) -> int | None:
+    """Requests of released units until the halt. A quarter of the windows is five times as bad for both."""
+    rng, trial = random.Random(seed), Trial()
+    for number in range(windows):
+        rate = base * (5 if number % 20 > 14 else 1)
+        bad = sum(rng.random() < min(rate + more, 1) for _ in range(mix[0]))
+        others = sum(rng.random() < rate for _ in range(mix[1]))
+        trial = window(trial, Counts(mix[0], bad), Counts(mix[1], others))
+        if trial.halts:
+            return trial.seen
+    return None
+
+
+def whole(size: int, most_out: float, seed: int) -> tuple[float, int]:
+    """Virtual seconds and store transactions of a whole release."""
+    rng = random.Random(seed)
+    names = [f"u{n:04}" for n in range(size)]
+    places = {n: p.Place(n, "dispatcher", {"zone": "abc"[at % 3], "cell": str(at % 20)}) for at, n in enumerate(names)}
+    fleet = p.Fleet(places, {n: p.Status(n, "0", "well", "v1") for n in names}, {},
+                    (Limit("all", most_out_share=most_out), Limit("zone", most_out_share=most_out)))
+    release = r.begin("r", r.PlanFile("v2", "v1", tuple(names), settle_s=10, start_s=120), places)
+    orders: dict[str, r.Order] = {}
+    due: dict[str, int] = {}
+    now = began = S
+    steps = 0
+    while release.phase == "running":
+        now += LOOK_US
+        for name in [name for name, at in due.items() if at <= now]:
+            del due[name]
+            fleet = replace(fleet, statuses={**fleet.statuses, name: p.Status(name, "1", "well", "v2")})
+        for step in r.steps(release, fleet, orders, now, 1, "s"):
+            steps += 1
+            match step:
+                case r.Keep(kept):
+                    release = kept
+                case r.Close(name):
+                    fleet = replace(fleet, permits={n: row for n, row in fleet.permits.items() if n != name})
+                case r.Grant(name, order, permit):
+                    orders[name], due[name] = order, now + rng.randint(8 * S, 25 * S)
+                    fleet = replace(fleet, permits={**fleet.permits, name: permit},
+                                    statuses={**fleet.statuses, name: p.Status(name, "0", "draining", "v1")})
+                    assert not p.broken(fleet)
+    return (now - began) / S, steps
+
+
+def main() -> None:
+    runs = int(sys.argv[1]) if len(sys.argv) > 1 else 1_000
+    for base in (0.002, 0.01, 0.05):
+        for mix in MIXES:
+            false = sum(until_halt(seed, base, 0.0, mix, 60) is not None for seed in range(runs))
+            found = []
+            for more in (0.01, 0.05, 0.2):
+                took = sorted(until_halt(seed, base, more, mix, 200) or 1 << 30 for seed in range(20))[10]
+                found.append(f"{more:.0%} more: {took if took < 1 << 30 else 'not in 200 windows'}")
+            print(f"bad {base:.1%}, {mix[0]} and {mix[1]} a window: false halts {false} of {runs}; requests until the "
+                  f"halt, median: {'; '.join(found)}", flush=True)
+    for size in (20, 60, 300):
+        for share in (0.05, 0.1):
+            seconds, steps = whole(size, share, size)
+            print(f"{size} units, {share:.0%} out at most: {seconds / 60:.1f} minutes, {steps / size:.1f} transactions "
+                  "a unit", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -217,10 +217,30 @@
               and {r.standing(name) for name in UNITS} == {"well"}, 30 * S)
 
 
+def an_edge_told_to_end_asks_first(r: Releases) -> None:
+    p = r.p
+    assert r.say("drain", r.config, "u1", "--by", "ana")[0] == 0
+    p.until("it is drained", lambda: r.standing("u1") == "draining")
+    (p.folder / "servers.toml").write_text("count = 0\n")
+    limits = {"limit": [{"group": "all", "most_out": MOST_OUT}]}
+    planner = p.config("planner0", planner={"servers": str(p.folder / "servers.toml"), "listen": "127.0.0.1:0"})
+    port = p.child("planner0", "plan", planner).rpartition(":")[2]
+    file = p.config("u0", edge={"planner": f"127.0.0.1:{port}"}, release=limits,
+                    fleet={"ask_leave": True, "member": "u0", "leave_wait_ms": 60_000})
+    p.child("edge of u0", "edge", file)
+    p.send("edge of u0", signal.SIGTERM)
+    p.until("it waits", lambda: p.logged("edge of u0", "leave is not given now"))
+    assert p.children["edge of u0"].running() and "u0" not in p.rows("permits/")
+    assert r.say("undrain", r.config, "u1", "--by", "ana")[0] == 0
+    p.until("it ends", lambda: not p.children["edge of u0"].running(), 30 * S)
+    assert p.logged("edge of u0", "leave was given") and list(p.rows("permits/")) == ["u0"]
+
+
 SCENARIOS: list[Callable[[Releases], None]] = [
     a_release_goes_through, a_version_that_does_not_start_halts_and_goes_back,
     a_version_that_does_harm_halts_by_itself, the_steward_is_stopped_in_mid_wave,
-    a_unit_program_is_killed_in_the_middle, an_accident_counts_as_out, drained_by_hand_and_let_back]
+    a_unit_program_is_killed_in_the_middle, an_accident_counts_as_out, drained_by_hand_and_let_back,
+    an_edge_told_to_end_asks_first]
 
 
 @pytest.mark.parametrize("scenario", SCENARIOS, ids=lambda scenario: scenario.__name__)
--- a/yardspindle/cli/edge.py
+++ b/yardspindle/cli/edge.py
@@ -7,6 +7,7 @@
 from yardspindle.cli.common import Failure, load, run_until_stopped, set_up_logs
 from yardspindle.core.config import ConfigError
 from yardspindle.edge.app import Edge
+from yardspindle.fleet.leave import ask_leave
 from yardspindle.runtime.real import RealWorld
 
 
@@ -26,4 +27,9 @@
         host, port = edge.start()
         return f"http://{host}:{port}/v1"
 
-    run_until_stopped("edge", world, start, edge.drain, f"{file}: edge.listen: {config.edge.listen}")
+    def stop() -> None:
+        if config.fleet.store and config.fleet.ask_leave:
+            ask_leave(world, config, config.fleet.member or f"edge{config.edge.number}")
+        edge.drain()
+
+    run_until_stopped("edge", world, start, stop, f"{file}: edge.listen: {config.edge.listen}")
--- a/yardspindle/core/config.py
+++ b/yardspindle/core/config.py
@@ -132,6 +132,8 @@
     margin_ms: NotNegative = 300.0
     call_ms: Positive = 500.0
     clock_bound_ms: Positive = 5_000.0
+    ask_leave: bool = False
+    leave_wait_ms: NotNegative = 10_000.0
 
 
 class Limit(Struct, forbid_unknown_fields=True, frozen=True):
--- a/yardspindle/core/fleet/release_keys.py
+++ b/yardspindle/core/fleet/release_keys.py
@@ -118,6 +118,13 @@
             puts.append(self.entry(entry))
         return Txn(self._under(fence, Compare(self.release, "mod", "equal", units.release_mod)), tuple(puts))
 
+    def leave(self, units: Units, permit: p.Permit) -> Txn:
+        """A unit's own permit, asked for because it was told to end; if nobody was let go since it looked."""
+        return Txn((Compare(self.head, "mod", "equal", units.head_mod),
+                    Compare(self.of("permits", permit.unit), "create", "equal", 0)),
+                   (Put(self.of("permits", permit.unit), msgspec.json.encode(permit)),
+                    Put(self.head, permit.unit.encode())))
+
     # --- transactions of an operator
 
     def entry(self, entry: Entry) -> Put:
@@ -136,7 +143,9 @@
 
 def wish_steps(units: Units, fleet: p.Fleet, now_us: int, fence: int, by: str) -> list[r.Step]:
     """What operators' wishes ask for next: one unit at a time, by the same permits as releases."""
-    found: list[r.Step] = []
+    found: list[r.Step] = [r.Close(unit) for unit, permit in sorted(units.permits.items())
+                           if not permit.release and unit not in units.wishes
+                           and p.is_back(permit, units.statuses.get(unit))]
     for unit, wish in sorted(units.wishes.items()):
         permit, last = units.permits.get(unit), units.orders.get(unit)
         number = (last.number if last is not None else 0) + 1
