Start a crashed unit again whatever became of its last start

A start that fails after a crash is one more crash now, tried again at growing pauses; only the start of an order is told as refused.

--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -360,10 +360,10 @@
     for _ in range(5):
         state, _ = u.step(state, now, u.Died())
         died = now
-        again, commands = u.step(state, now, u.Tick(False))
+        again, commands = u.step(state, now, u.Tick())
         while not commands:
             now += 50_000
-            again, commands = u.step(state, now, u.Tick(False))
+            again, commands = u.step(state, now, u.Tick())
         gaps.append(now - died)
         state = u._with(again, memory=msgspec.structs.replace(again.memory, stage="idle"), alive=True)
     assert gaps == sorted(gaps) and gaps[-1] >= 8 * gaps[0]
--- a/yardspindle/core/fleet/unit.py
+++ b/yardspindle/core/fleet/unit.py
@@ -96,9 +96,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Tick:
-    """Time went by; `released`: whether the store says that this unit may be out (it has a permit)."""
-
-    permit: bool
+    """Time went by."""
 
 
 Event = Ordered | Ended | Died | Tick
@@ -149,10 +147,8 @@
             if memory.stage == "checking":
                 return _failed(down, now_us, f"version {memory.version} ended by itself")
             return down, (Remember(memory),)
-        case Tick(permit):
-            # What crashed is started again: within its permit while it is out, else because it is meant to run.
-            if not state.alive and memory.stage == "idle" and now_us >= state.again_us and (
-                    permit or not memory.refused):
+        case Tick():  # what ended by itself is started again, at growing pauses, whether or not an order went wrong
+            if not state.alive and memory.stage == "idle" and now_us >= state.again_us and not memory.drained:
                 return _stage(state, now_us, "starting", Do("start"))
     return state, ()
 
@@ -230,6 +226,8 @@
 
 
 def _failed(state: State, now_us: int, why: str) -> tuple[State, tuple[Command, ...]]:
-    """The order ended badly: said once, and left as it is for whoever decides."""
-    memory = replace(state.memory, stage="idle", done=state.memory.number, refused=why)
+    """A start ended badly. That of an order is told, for whoever decides; after a crash it is one more crash."""
+    ordered = state.memory.done < state.memory.number
+    memory = replace(state.memory, stage="idle", done=state.memory.number,
+                     refused=why if ordered else state.memory.refused)
     return _with(state, memory=memory, since_us=now_us), (Remember(memory),)
--- a/yardspindle/lab/release_worlds.py
+++ b/yardspindle/lab/release_worlds.py
@@ -41,11 +41,13 @@
         self.sim, self.name = sim, name
         self.version, self.mark, self.number, self.up_us = "", "", 0, 0
         self.running = False
+        self.broken_until_us = 0  # no start of it succeeds before
         self.starts: Counter[str] = Counter()
 
-    def crash(self) -> None:
-        """It ends by itself."""
+    def crash(self, for_us: int = 0) -> None:
+        """It ends by itself, and cannot be started for a while."""
         self.running = False
+        self.broken_until_us = self.sim.now_us() + for_us
 
 
 class VirtualHands:
@@ -79,7 +81,8 @@
         if not (self._m.running and self._m.mark == mark):
             self._m.starts[mark] += 1
             self._m.number += 1
-            self._m.version, self._m.mark, self._m.running = version, mark, version != NEVER
+            whole = self._m.sim.now_us() >= self._m.broken_until_us
+            self._m.version, self._m.mark, self._m.running = version, mark, version != NEVER and whole
             self._m.up_us = self._m.sim.now_us()
         self._known = (self._m.number, 1)
         return 0
@@ -219,7 +222,8 @@
     def _fault(self) -> None:
         sim, rng = self.sim, self.rng
         at, lasts = rng.randrange(30_000_000), rng.randrange(50_000, 6_000_000)
-        kind = rng.choice(["dies", "dies", "stalls", "cut", "crash", "crash", "no leader", "late", "lost", "expire"])
+        kind = rng.choice(["dies", "dies", "stalls", "cut", "crash", "crash", "crash", "no leader", "late", "lost",
+                           "expire"])
         name = rng.choice(STEWARDS + UNITS)
         sim.scheduler.sleep_until(sim.now_us() + at)
         world = sim.programs[name]
@@ -236,7 +240,7 @@
                 sim.network.cut(name, STORE)
                 undo = lambda: sim.network.join(name, STORE)  # noqa: E731
             case "crash":
-                self.machines[rng.choice(UNITS)].crash()
+                self.machines[rng.choice(UNITS)].crash(3 * lasts)
             case "no leader":
                 self.etcd.leaderless = True
                 undo = lambda: setattr(self.etcd, "leaderless", False)  # noqa: E731
--- a/yardspindle/unit/app.py
+++ b/yardspindle/unit/app.py
@@ -129,7 +129,7 @@
         self.world.replace_file(self.file.state, msgspec.json.encode(memory))
 
     def _orders(self) -> None:
-        key, permit = self.keys.of("orders", self.file.name), self.keys.of("permits", self.file.name)
+        key = self.keys.of("orders", self.file.name)
         while True:
             try:
                 rows = self.store.range(key).rows
@@ -138,10 +138,9 @@
                     if order.number > self.state.memory.number:
                         log.info("order", number=order.number, do=order.do, version=order.version, fence=order.fence)
                     self._feed(u.Ordered(order))
-                self._feed(u.Tick(bool(self.store.range(permit).rows)))
             except StoreError as error:
                 log.debug("no order without the store", reason=str(error))
-                self._feed(u.Tick(False))
+            self._feed(u.Tick())
             self.world.sleep_until(self.world.now_us() + LOOK_US)
 
     def _watch(self) -> None:
