--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,20 +2,16 @@
 
 from __future__ import annotations
 
-import json
-from collections.abc import Callable, Sized
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 
-from tests.platform_standin import EVENTS, HEAD, SETTINGS, TOLD, Host, Platform, plain, request, stream, write
-from yardspindle.core.config import ConfigError
+from tests.platform_standin import EVENTS, HEAD, Host, Platform, plain, request, stream, write
 from yardspindle.node.app import Node
-from yardspindle.node.config import parse, variables
 from yardspindle.protocol import http1
-from yardspindle.runtime.scheduler import DeadlineExceeded
 from yardspindle.runtime.virtual import Simulation
-from yardspindle.runtime.world import Stream, StreamError
+from yardspindle.runtime.world import Stream
 
 ID = b"9b1f03aa5c7e2d41"
 
@@ -262,166 +258,3 @@
     request(ID).replace(b'{"stream":true}', b'{"stream":tru}}'),
     request(ID).replace(b"prompt_len=1000", b"prompt_len=-1000"),
     request(ID).replace(b"req-id", b"req-id: other\r\nreq-id")]
-
-
-@pytest.mark.parametrize("sent", BAD)
-def test_bad_clients_get_an_error_or_a_close_and_touch_nothing(sent: bytes) -> None:
-    def main(platform: Platform, node: Node) -> None:
-        client = platform.connect()
-        with platform.clients.deadline(platform.clients.now_us() + 3_000_000):
-            got = b""
-            try:
-                client.write(sent)
-                while data := client.read():
-                    got += data
-            except StreamError:
-                pass
-            except DeadlineExceeded:
-                assert got  # an error, and the connection stays
-        assert not got or got.startswith(b"HTTP/1.1 4") or got.startswith(b"HTTP/1.1 5")
-        assert node.core.life.tally.taken == 0 and platform.seen == []
-        assert platform.ask(b"good").whole
-
-    play(main)
-
-
-def test_an_id_that_is_open_is_refused_and_the_open_one_served() -> None:
-    def main(platform: Platform, node: Node) -> None:
-        answers: list[int] = []
-        first = platform.clients.spawn("first", lambda: answers.append(platform.ask(ID).status))
-        platform.sleep(10_000)
-        assert platform.ask(ID).status == 409
-        first.join()
-        assert answers == [200] and platform.kinds(ID).count("read") == 1
-
-    play(main)
-
-
-def test_silent_connections_leave_room_for_clients() -> None:
-    def main(platform: Platform, node: Node) -> None:
-        silent = [platform.connect() for _ in range(60)]
-        assert node._server is not None and node._server.connections < 36
-        assert platform.ask(ID).whole
-        platform.sleep(3_000_000)
-        assert node._server.connections <= 1
-        assert all(not stream.quiet() for stream in silent)
-
-    play(main, sockets=64)
-
-
-# --- discovery
-
-def test_the_list_is_followed_and_a_drain_kept_whatever_discovery_says() -> None:
-    def main(platform: Platform, node: Node) -> None:
-        drained = writers(platform)[0]
-        drained.phase, platform.revision = "Terminating", 2
-        platform.sleep(100_000)
-        for spoilt in (b"{", b'{"revision":9,"complete":true,"members":[]}', b'{"revision":1,"complete":true}'):
-            platform.spoil, platform.revision = spoilt, platform.revision + 1
-            platform.sleep(1_000_000)
-        assert len(node.hosts) == 5
-        for number in range(6):
-            assert platform.ask(b"id%d" % number).whole
-        assert drained.name not in [name for what, name, _ in platform.seen if what == "write"]
-
-    play(main)
-
-
-def test_an_agent_that_falls_silent_is_asked_anew_and_another_address_is_followed() -> None:
-    def main(platform: Platform, node: Node) -> None:
-        platform.sleep(100_000)
-        platform.sim.network.cut("node", f"discovery {TOLD['ROUTER_DISCOVERY']}")
-        platform.sleep(7_000_000)
-        assert len(node.hosts) == 5 and platform.ask(b"meanwhile").whole
-        platform.discovery("10.2.0.9:8500")
-        platform.hosts.pop(writers(platform)[0].name)
-        platform.revision = 7
-        config = json.dumps({"discovery": "10.2.0.9:8500", "settings": SETTINGS}).encode()
-        node.reload(parse(TOLD, config))
-        platform.sleep(200_000)
-        assert (len(node.hosts), node.hosts.revision) == (4, 7)
-
-    play(main)
-
-
-def test_tables_stay_flat_while_hosts_and_clients_keep_changing() -> None:
-    def main(platform: Platform, node: Node) -> list[int]:
-        counts = []
-        for at in range(240):
-            old = next(iter(platform.hosts))
-            flavor = platform.hosts.pop(old).flavor
-            platform.add(f"{flavor}-new-{at}", flavor, f"10.4.{at}.1:9000")
-            platform.revision += 1
-            platform.sleep(500_000)
-            assert platform.ask(b"id%d" % at).status in (200, 502, 504)
-            policy, core, tables = node.policy, node.core, node.executor
-            held: list[Sized] = [
-                policy.servers, policy.open, core.life.directory.servers, core.life.open, core.rooms.owed,
-                core.rooms._heard, tables.ids, tables.running, node.hosts._numbers, node.http._idle, node._open_ids]
-            counts.append(sum(len(table) for table in held))
-        return counts
-
-    counts = play(main)
-    assert max(counts[200:]) <= max(counts[140:200])
-
-
-# --- planned restarts
-
-def test_a_planned_restart_answers_what_it_took_and_ends_streams_before_it_is_killed() -> None:
-    def endless(host: Host, to: Stream, number: bytes) -> bool:
-        return stream(host, to, [EVENTS[0]] * 10_000)
-
-    def hangs(host: Host, to: Stream, number: bytes) -> bool:
-        return write(host, to, number) if number == b"late" else says(b"")(host, to, number)
-
-    def main(platform: Platform, node: Node) -> None:
-        answers: dict[bytes, Any] = {}
-
-        def ask(number: bytes, cls: bytes = b"ask") -> None:
-            answers[number] = platform.ask(number, cls)
-
-        kept = platform.connect()
-        assert platform.ask(b"before", to=kept).whole
-        for host in writers(platform):
-            host.script = endless
-        tasks = [platform.clients.spawn("a", ask, b"streams")]
-        platform.sleep(200_000)
-        for host in writers(platform):
-            host.script = hangs
-        tasks += [platform.clients.spawn("b", ask, b"waits"), platform.clients.spawn("c", ask, b"order", b"order")]
-        platform.sleep(100_000)
-        drain = node.world.spawn("drain", node.drain)
-        platform.sleep(300_000)
-        up = platform.connect()
-        up.write(b"GET /up HTTP/1.1\r\nhost: x\r\n\r\n")
-        assert up.read().startswith(b"HTTP/1.1 503")
-        assert platform.ask(b"late", to=kept).whole  # a kept connection is served on
-        drain.join()
-        for task in tasks:
-            task.join()
-        assert not answers[b"streams"].whole and answers[b"streams"].body.startswith(EVENTS[0])
-        assert answers[b"waits"].status == 503 and answers[b"order"].status == 502
-        assert max(answer.took_us for answer in answers.values()) < 3_900_000
-        assert not node.core.life.open
-
-    play(main)
-
-
-# --- configuration
-
-@pytest.mark.parametrize(("data", "named"), [
-    (b"{", "no JSON"), (b"{}", "settings"), (b'{"settings":{}}', "settings"), (b'{"settings":3}', "settings"),
-    (json.dumps({"settings": SETTINGS, "listen": "x"}).encode(), "listen"),
-    (json.dumps({"settings": SETTINGS, "limits": {"sockets": "many"}}).encode(), "limits.sockets"),
-    (json.dumps({"settings": SETTINGS, "limits": {"sockets": 15}}).encode(), "limits.sockets"),
-    (json.dumps({"settings": {**SETTINGS, "me": 5}}).encode(), "me")])
-def test_a_bad_configuration_is_one_clear_line(data: bytes, named: str) -> None:
-    with pytest.raises(ConfigError) as caught:
-        parse(TOLD, data)
-    text = str(caught.value)
-    assert text.startswith("/config.json: ") and named in text and "\n" not in text
-
-
-def test_a_missing_variable_is_named() -> None:
-    with pytest.raises(ConfigError, match="ROUTER_LISTEN"):
-        variables({name: value for name, value in TOLD.items() if name != "ROUTER_LISTEN"})
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import sqlite3
-import subprocess
-import sys
 import tempfile
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -29,13 +26,11 @@
     prefix_end,
 )
 from yardspindle.core.fleet.kv_model import Model
-from yardspindle.core.fleet.members import Keys, View
 from yardspindle.fleet.store.embedded import EmbeddedStore
 from yardspindle.fleet.store.gateway import Gateway
-from yardspindle.fleet.store.interface import Granted, Kept, NotDone, Store, StoreError, Unknown, WatchBroken, WentBack
+from yardspindle.fleet.store.interface import Granted, Kept, NotDone, Store, Unknown
 from yardspindle.lab.etcd import EtcdStandIn
 from yardspindle.runtime.real import RealWorld
-from yardspindle.runtime.scheduler import DeadlineExceeded
 from yardspindle.runtime.world import World
 
 S = 1_000_000
@@ -278,182 +273,3 @@
         assert store.range(b"a").rows[0].value == b"mine"
 
     with_stand_in(test)
-
-
-def test_no_answer_is_unknown_for_a_write_and_nothing_done_for_a_read() -> None:
-    def test(world: RealWorld, stand_in: EtcdStandIn, store: Gateway) -> None:
-        stand_in.late_us = 400_000
-        with pytest.raises(Unknown):
-            store.txn(put(b"a", b"late"))
-        with pytest.raises(NotDone):
-            store.range(b"a")
-        stand_in.late_us = 0
-        with world.deadline(world.now_us() + 5 * S):
-            while not store.range(b"a").rows:  # it was on its way all along
-                world.sleep_until(world.now_us() + 10_000)
-
-    with_stand_in(test)
-
-
-def test_without_a_leader_nothing_is_done() -> None:
-    def test(world: RealWorld, stand_in: EtcdStandIn, store: Gateway) -> None:
-        stand_in.leaderless = True
-        with pytest.raises(NotDone, match="no leader"):
-            store.txn(put(b"a", b""))
-        stand_in.leaderless = False
-        assert store.range(b"a").rows == ()
-
-    with_stand_in(test)
-
-
-def test_a_dead_endpoint_is_passed_over() -> None:
-    def test(world: RealWorld, stand_in: EtcdStandIn, store: Gateway) -> None:
-        assert store.txn(put(b"a", b"")).succeeded
-        before = store.calls
-        store.range(b"a")
-        assert store.calls == before + 1, "the endpoint that answered is asked first from then on"
-
-    with_stand_in(test, endpoints=2)
-
-
-def test_a_store_that_went_back_is_refused() -> None:
-    def test(world: RealWorld, stand_in: EtcdStandIn, store: Gateway) -> None:
-        stand_in.marked = stand_in.model.copy()
-        store.txn(put(b"a", b""))
-        stand_in.model = stand_in.marked.copy()
-        with pytest.raises(WentBack, match="stands at revision 1; it had told 2"):
-            store.range(b"a")
-        with pytest.raises(WentBack):
-            store.txn(put(b"a", b""))
-
-    with_stand_in(test)
-
-
-def test_a_watch_that_breaks_says_so() -> None:
-    def test(world: RealWorld, stand_in: EtcdStandIn, store: Gateway) -> None:
-        watch = store.watch(b"a", b"", 0)
-        watch.next()
-        stand_in._break()
-        with pytest.raises(WatchBroken), world.deadline(world.now_us() + 5 * S):
-            watch.next()
-
-    with_stand_in(test)
-
-
-def test_that_a_watch_stands_does_not_say_that_nothing_was_missed() -> None:
-    """Found by a seeded world: a view that took it so passed over what had changed since it was read."""
-    def test(world: RealWorld, stand_in: EtcdStandIn, store: Gateway) -> None:
-        keys = Keys("f")
-        view = View(keys)
-        rows = store.range(keys.root, prefix_end(keys.root))
-        view.reset(rows.revision, rows.rows)
-        store.txn(put(keys.members + b"edge/e", b'{"name":"e","kind":"edge","epoch":"1"}'))
-        watch = store.watch(keys.root, prefix_end(keys.root), rows.revision + 1)
-        with world.deadline(world.now_us() + 5 * S):
-            while "edge/e" not in view.members:
-                changes = watch.next()
-                view.change(changes.revision, changes.changes)
-
-    with_stand_in(test)
-
-
-# --- the file
-
-def test_a_file_that_is_not_ours_is_left_as_it_is(tmp_path: Path) -> None:
-    path = tmp_path / "store.db"
-    path.write_bytes(b"not a database at all, but somebody's notes" * 100)
-    before = path.read_bytes()
-    with pytest.raises(StoreError, match=r"store\.db: .*not a database"):
-        run("file", tmp_path, lambda world, store: None)
-    assert path.read_bytes() == before
-    path.unlink()
-    with sqlite3.connect(path) as db:
-        db.execute("CREATE TABLE orders (id)")
-    db.close()
-    before = path.read_bytes()
-    with pytest.raises(StoreError, match="none of ours"):
-        run("file", tmp_path, lambda world, store: None)
-    assert b"orders" in path.read_bytes()
-
-
-def test_a_lock_that_is_held_is_waited_for_and_then_told(tmp_path: Path) -> None:
-    def test(world: RealWorld, store: Store) -> None:
-        other = sqlite3.connect(tmp_path / "store.db", isolation_level=None)
-        other.execute("BEGIN IMMEDIATE")
-        ticks = 0
-
-        def tick() -> None:
-            nonlocal ticks
-            while True:
-                world.sleep_until(world.now_us() + 5_000)
-                ticks += 1
-
-        ticking = world.spawn("tick", tick)
-        with pytest.raises(NotDone, match="holds the lock"):
-            store.txn(put(b"a", b""))
-        assert ticks > 20, "what else runs in the program went on"
-        ticking.cancel()
-        other.execute("ROLLBACK")
-        assert store.txn(put(b"a", b"")).succeeded
-        other.close()
-
-    run("file", tmp_path, test)
-
-
-def test_writers_that_are_killed_at_any_moment_leave_a_whole_store(tmp_path: Path) -> None:
-    """Four processes count two keys up in one transaction each; whoever is killed, they agree and nothing is lost."""
-    code = ("import sys; from yardspindle.core.fleet.kv import *; from yardspindle.runtime.real import RealWorld\n"
-            "from yardspindle.fleet.store.embedded import EmbeddedStore\n"
-            "w = RealWorld()\n"
-            "def go():\n"
-            "    s = EmbeddedStore(w, sys.argv[1], 5_000_000)\n"
-            "    while True:\n"
-            "        rows = s.range(b'a').rows\n"
-            "        n = int(rows[0].value) if rows else 0\n"
-            "        mod = rows[0].mod if rows else 0\n"
-            "        done = s.txn(Txn((Compare(b'a', 'mod', 'equal', mod),),\n"
-            "                         (Put(b'a', b'%d' % (n + 1)), Put(b'b', b'%d' % (n + 1)))))\n"
-            "        if done.succeeded: print(n + 1, flush=True)\n"
-            "w.run('count', go)\n")
-    path = tmp_path / "store.db"
-    highest = 0
-    for round_number in range(6):
-        children = [subprocess.Popen([sys.executable, "-c", code, str(path)], stdout=subprocess.PIPE, text=True)
-                    for _ in range(4)]
-        for at, child in enumerate(children):
-            assert child.stdout is not None
-            for _ in range(3 + round_number + at):
-                highest = max(highest, int(child.stdout.readline()))
-            child.kill()
-        for child in children:
-            assert child.stdout is not None
-            highest = max([highest, *(int(row) for row in child.stdout.read().split("\n") if row.strip())])
-            child.stdout.close()
-            child.wait()
-
-    def test(world: RealWorld, store: Store) -> None:
-        one, other = store.range(b"a").rows[0], store.range(b"b").rows[0]
-        assert one.value == other.value and int(one.value) >= highest > 40
-        assert one.version == int(one.value), "every count was made once"
-
-    run("file", tmp_path, test)
-
-
-def test_leases_of_an_earlier_start_of_the_machine_have_ended(tmp_path: Path) -> None:
-    def test(world: RealWorld, store: Store) -> None:
-        assert isinstance(store, EmbeddedStore)
-        store.txn(put(b"m", b"", store.grant(60 * S).lease))
-        store._boot = "another start"
-        assert store.range(b"m").rows == ()
-
-    run("file", tmp_path, test)
-
-
-def test_the_bound_of_a_caller_is_its_own(tmp_path: Path) -> None:
-    """A deadline around a call that passes first is not taken for the store's."""
-    def test(world: RealWorld, stand_in: EtcdStandIn, store: Gateway) -> None:
-        stand_in.late_us = 150_000
-        with pytest.raises(DeadlineExceeded), world.deadline(world.now_us() + 20_000):
-            store.txn(put(b"a", b""))
-
-    with_stand_in(test)
