Count an attempt as out only once its last byte is written: what is held waits no longer

At fault: Lifecycle._send and attempt_ended, which counted an attempt as out from the command on and restarted the clock at each failed connection; EdgeCore._out, which forgot an owed release when the next read was commanded, not when it was written. Ruled out: releases that were not heard and the policy's waits, of which the log has no line in that time.

Change: the executor tells the core of a connection that is up and of the last byte. A write that is not written when three quarters of the release time are over is called off, its state let go of, and the policy told that it is gone; a write's connection gets half of that time, so two writers can be tried. What is owed is said until a read's first byte.

--- a/yardspindle/core/request/edge_core.py
+++ b/yardspindle/core/request/edge_core.py
@@ -89,6 +89,16 @@
         self.watch.ended(now_us, request, number, status, note)
         return self._out(now_us, self.life.attempt_ended(now_us, request, number, status, note, state, stale))
 
+    def sending(self, request: int) -> None:
+        """An attempt's first byte is about to be written: what is still owed is left to its end."""
+        if (room := self.rooms.in_use(request)) is not None:
+            self.life.still_held(request, room.again)
+
+    def written(self, request: int, number: int) -> None:
+        """An attempt's last byte is written: from now on it is out."""
+        self.life.written(request, number)
+        self.watch.written(request, number)
+
     def tick(self, now_us: int) -> list[c.Command]:
         """Look at the clock."""
         commands = self._out(now_us, self.life.tick(now_us))
@@ -120,9 +130,8 @@
                     self.releases.owe(now_us, server, Thing.PLACE, request, place)
                 case c.ReleaseAll(request, again):
                     self.rooms.owe(now_us, request, again)
-                case c.Read() | c.Write():
-                    if (room := self.rooms.in_use(command.request)) is not None:
-                        self.life.still_held(command.request, room.again)
+                case c.Write():  # a read's connection may be long in coming up: the word is said meanwhile
+                    self.sending(command.request)
                     out.append(command)
                 case _:
                     out.append(command)
--- a/yardspindle/core/request/ends.py
+++ b/yardspindle/core/request/ends.py
@@ -61,19 +61,26 @@
     def _abort(self, now_us: int, r: Open) -> None:
         out = r.out
         assert out is not None
-        r.out, r.idle_since_us = None, now_us
-        r.ran = r.ran or may_have_run(out.server.role, i.Status.CANCELLED)
+        r.out = None
+        if self._was_out(out):
+            r.idle_since_us = now_us
+            r.ran = r.ran or may_have_run(out.server.role, i.Status.CANCELLED)
         self._commands.append(c.Abort(r.ask.request, out.number))
         if not r.streaming:
             self._untaken(r, out)
         if out.server.role is i.Role.READ and self.rules.release_whole:
-            r.held = r.unsure = True  # it may end well just as it is called off
+            if self._was_out(out):
+                r.held = r.unsure = True  # it may end well just as it is called off
             self._release(r)
         elif out.server.role is i.Role.READ:
             self._commands.append(c.ReleaseState(r.ask.request, out.number, out.server))
         self._tell(r, i.Outcome(r.ask.request, out.number, out.server.number, i.Status.CANCELLED,
                                 now_us - out.sent_us, r.final is not None))
 
+    def _was_out(self, out: Attempt) -> bool:
+        """Whether its last byte was written; where that is not told, an attempt is out when it is sent."""
+        return out.written or not self.rules.release_whole
+
     def _untaken(self, r: Open, out: Attempt) -> None:
         """A write ended without the writer's word that it had come: its place may still be held there."""
         if self.rules.release_whole:
--- a/yardspindle/core/request/lifecycle.py
+++ b/yardspindle/core/request/lifecycle.py
@@ -22,9 +22,10 @@
 from yardspindle.core.request import commands as c
 from yardspindle.core.request.ends import Ends
 from yardspindle.core.request.open import Attempt, Open, Place
-from yardspindle.core.request.proof import PROVES_NOT_RUN, harmless_to_repeat, may_have_run
+from yardspindle.core.request.proof import PROVES_NOT_RUN, PROVES_WRITTEN, harmless_to_repeat, may_have_run
 
 PINNED_PART = 0.75  # of the release time: after it the edge lets go itself; the policy acts at half
+CONNECTS_HELD = 2  # writers that can be tried one after another in that time while a state is held
 
 
 class Lifecycle(Ends):
@@ -267,7 +268,8 @@
         if r is None or r.out is None or r.out.number != number:
             return self._take()  # it was called off, and its end has been told
         out, r.out = r.out, None
-        r.idle_since_us = now_us
+        if self._was_out(out) or status in PROVES_WRITTEN:
+            r.idle_since_us = now_us
         r.ran = r.ran or may_have_run(out.server.role, status)
         if status is i.Status.READ:
             r.state, r.state_at, r.state_attempt, r.held = state, out.server, number, True
@@ -297,8 +299,31 @@
         if r is not None:
             r.held, r.unsure = True, r.unsure or unsure
 
+    def written(self, request: int, number: int) -> None:
+        """An attempt's last byte is written."""
+        r = self.open.get(request)
+        if r is not None and r.out is not None and r.out.number == number:
+            r.out.written = True
+
+    def _unreached(self, now_us: int, r: Open, out: Attempt) -> None:
+        """A write's connection does not come up, and what is held may be held no longer: it has not run."""
+        self._interlock(r, "held while connecting")
+        self._commands.append(c.Abort(r.ask.request, out.number))
+        r.out = None
+        self._untaken(r, out)
+        self._release(r)
+        self._tell(r, i.Outcome(r.ask.request, out.number, out.server.number, i.Status.CONNECT_FAILED,
+                                now_us - out.sent_us, False, 1))
+        if not r.epoch:
+            self._give_up(r, "planner_lost")
+
     # --- time
 
+    @property
+    def held_connect_us(self) -> int | None:
+        """In what time a write's connection has to come up, as what is held meanwhile counts as held."""
+        return round(PINNED_PART * self.rules.release_us / CONNECTS_HELD) if self.rules.release_whole else None
+
     def tick(self, now_us: int) -> list[c.Command]:
         """Keep the rules that time breaks; called every few milliseconds' tens while requests are open."""
         for r in list(self.open.values()):
@@ -312,4 +337,8 @@
                     and now_us - r.idle_since_us > PINNED_PART * self.rules.release_us):
                 self._interlock(r, "held too long")
                 self._release(r)
+            elif (r.out is not None and not self._was_out(r.out) and r.out.server.role is not i.Role.READ
+                    and (r.state_at is not None or r.held)
+                    and now_us - r.idle_since_us > PINNED_PART * self.rules.release_us):
+                self._unreached(now_us, r, r.out)
         return self._take()
--- a/yardspindle/core/request/open.py
+++ b/yardspindle/core/request/open.py
@@ -34,6 +34,7 @@
     server: Server
     sent_us: int
     place: int | None = None  # that a write is to take
+    written: bool = False  # its last byte is: until then it is not out, and nothing has run
 
 
 @dataclass(slots=True)
--- a/yardspindle/core/request/rules.py
+++ b/yardspindle/core/request/rules.py
@@ -13,7 +13,7 @@
 from yardspindle import interface as i
 from yardspindle.core.request import commands as c
 from yardspindle.core.request.open import EdgeRules
-from yardspindle.core.request.proof import PROVES_NOT_RUN
+from yardspindle.core.request.proof import PROVES_NOT_RUN, PROVES_WRITTEN
 
 LATE_TICK_US = 40_000  # the core looks at its clock every 20 ms; a busy loop may be one look late
 KEPT_ENDED = 2_000  # ended requests that are remembered, to catch what comes after an end
@@ -35,6 +35,7 @@
     places: dict[int, str] = field(default_factory=dict)
     riding: dict[int, tuple[int, str]] = field(default_factory=dict)  # by write: the place it is to take
     idle_since_us: int = 0
+    unwritten: set[int] = field(default_factory=set)  # attempts whose last byte is not written: nothing is out
 
     @property
     def under_way(self) -> bool:
@@ -93,7 +94,9 @@
         if known is None or attempt not in known.out:
             return
         write, server = known.out.pop(attempt)
-        known.idle_since_us = now_us
+        if attempt not in known.unwritten or status in PROVES_WRITTEN:
+            known.idle_since_us = now_us
+        known.unwritten.discard(attempt)
         if status not in (i.Status.SERVED, i.Status.FULL):
             self._untaken(known, attempt)
         if write and status not in PROVES_NOT_RUN:
@@ -109,6 +112,11 @@
         if known is not None and held and not (known.over and not known.out):
             known.places[place] = server
 
+    def written(self, request: int, attempt: int) -> None:
+        """An attempt's last byte is written."""
+        if (known := self._known(request)) is not None:
+            known.unwritten.discard(attempt)
+
     # --- what goes out
 
     def check(self, now_us: int, commands: list[c.Command]) -> list[c.Command]:
@@ -124,8 +132,10 @@
                 if known is not None and attempt in known.out:
                     write, _ = known.out.pop(attempt)
                     self._untaken(known, attempt)
-                    known.ran = known.ran or write
-                    known.idle_since_us = now_us
+                    if attempt not in known.unwritten:
+                        known.ran = known.ran or write
+                        known.idle_since_us = now_us
+                    known.unwritten.discard(attempt)
                     self._forget(request, known)
             case c.ReleaseState(request, attempt):
                 known = self._known(request)
@@ -159,6 +169,8 @@
         if closed_us is not None and now_us > closed_us + self._rules.drain_grace_us:
             return self._broken("drains kept", command.request, f"an attempt at {command.server.name}")
         known.out[command.attempt] = write, command.server.name
+        if self._rules.release_whole:
+            known.unwritten.add(command.attempt)
         if write and self._rules.release_whole:  # a send to another writer gives a place up
             known.places = {n: at for n, at in known.places.items() if at == command.server.name}
         if isinstance(command, c.Write) and command.place is not None:
@@ -190,7 +202,8 @@
                 self._forget(request, known)
         for request, known in (*self.open.items(), *self._ended.items()):
             held = known.state is not None or known.places
-            if held and not known.out and now_us - known.idle_since_us > self._rules.release_us:
+            out = known.out.keys() - known.unwritten
+            if held and not out and now_us - known.idle_since_us > self._rules.release_us:
                 self._broken("nothing left pinned", request, "held with no attempt out")
                 known.state = None
                 known.places.clear()
--- a/yardspindle/engine/http_client.py
+++ b/yardspindle/engine/http_client.py
@@ -102,18 +102,24 @@
     _idle: dict[tuple[str, int], deque[Connection]] = field(default_factory=dict)
 
     def request(self, host: str, port: int, method: bytes, target: bytes, headers: http1.Headers,
-                body: bytes = b"", written: Callable[[], None] | None = None) -> Response:
-        """Send a request and wait for the response's head; `written` is called after the request's last byte.
+                body: bytes = b"", written: Callable[[], None] | None = None,
+                ready: Callable[[], None] | None = None, connect_us: int | None = None) -> Response:
+        """Send a request and wait for the response's head.
+
+        `ready` is called, and may wait, when the connection is there and nothing is written; `written` after the
+        request's last byte. `connect_us` bounds the making of this one connection.
 
         Raises ConnectError when nothing was sent and ExchangeBroken when something may have been.
         """
         key = (host, port)
         name = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         data = http1.write_request(method, target, [(b"host", name.encode()), *headers], body)
-        connection = self._take(key) or self._open(key)
+        connection = self._take(key) or self._open(key, connect_us)
         connection.parser.expects(method)
         done = False
         try:
+            if ready is not None:
+                ready()
             self._write(connection, data)
             if written is not None:
                 written()
@@ -218,8 +224,9 @@
             connection.stream.close()
         return None
 
-    def _open(self, key: tuple[str, int]) -> Connection:
-        stream = self.world.connect(*key, self.world.now_us() + self.connect_us)
+    def _open(self, key: tuple[str, int], connect_us: int | None) -> Connection:
+        limit_us = self.connect_us if connect_us is None else min(connect_us, self.connect_us)
+        stream = self.world.connect(*key, self.world.now_us() + limit_us)
         self.counts.opened += 1
         return Connection(stream, http1.ResponseParser(limits=self.limits))
 
--- a/yardspindle/node/executor.py
+++ b/yardspindle/node/executor.py
@@ -173,13 +173,13 @@
         opening_limit = None
         try:
             with self._world.deadline(command.until_us):
-                self._wait_for_release(command.request)
                 left_ms = max((command.until_us - self._world.now_us()) // 1_000, 1)
                 headers = [(b"req-id", run.id), (b"req-deadline-ms", b"%d" % left_ms),
                            (b"content-type", b"application/json")]
-                signal = run.sent.get(command.attempt)
-                said = self._hosts.send(command.server, run.exchange.head.target, headers, run.exchange.body,
-                                        signal.set if signal is not None else _nothing)
+                connect_us = None if isinstance(command, c.Read) else self._core.life.held_connect_us
+                said = self._hosts.send(
+                    command.server, run.exchange.head.target, headers, run.exchange.body,
+                    lambda: self._written(command, run), lambda: self._ready(command), connect_us)
                 if isinstance(said, Ended):
                     return said
                 opening_limit = self._world.deadline(self._world.now_us() + patience.OPENING_US)
@@ -202,6 +202,17 @@
         finally:
             said.close()
 
+    def _ready(self, command: c.Read | c.Write) -> None:
+        """The connection is there: what is owed for the request is said no more, or it would take what this leaves."""
+        self._core.sending(command.request)
+        self._wait_for_release(command.request)
+
+    def _written(self, command: c.Read | c.Write, run: Running) -> None:
+        self._core.written(command.request, command.attempt)
+        signal = run.sent.get(command.attempt)
+        if signal is not None:
+            signal.set()
+
     def _opening(self, stream: Stream) -> bytes:
         """A stream up to the end of its first event. Raises ExchangeBroken and ProtocolError."""
         opening = b""
--- a/yardspindle/node/hosts.py
+++ b/yardspindle/node/hosts.py
@@ -80,10 +80,11 @@
         self.http = http
 
     def send(self, server: Server, target: bytes, headers: http1.Headers, body: bytes,
-             written: Callable[[], None]) -> Ended | Stream:
+             written: Callable[[], None], ready: Callable[[], None], connect_us: int | None) -> Ended | Stream:
         """Send the request to a reader or writer and wait for what it says, or for the head of its stream."""
         try:
-            response = self.http.request(server.host, server.port, b"POST", target, headers, body, written)
+            response = self.http.request(
+                server.host, server.port, b"POST", target, headers, body, written, ready, connect_us)
         except ConnectError as error:
             return Ended(Status.CONNECT_FAILED, detail=str(error), stale=isinstance(error, ConnectReset))
         except NotSent as error:
--- a/yardspindle/policy/life.py
+++ b/yardspindle/policy/life.py
@@ -150,7 +150,8 @@
             r.ran = True
             if r.cls.effect is not i.Effect.SAFE:  # keyed ones neither: not worth the risk
                 return self._end(r, "fail")
-        if event.note == 1 and status is i.Status.FULL or r.reader is None:  # no state is left: read again
+        if event.note == 1 and status in (i.Status.FULL, i.Status.CONNECT_FAILED) or r.reader is None:
+            # No state is left, or it could be held no longer while connections did not come up: read again.
             self._drop_held(r)
             return self._start(r)
         r.pinned_us = self.now
