Ask discovery in watches of a second, a broken one at once, and be up only with its list

Need: what the agent has counts from its return and from a process's first moment; silence counts 6 s after it began. Seen by reading Discovery and patience: a call swallowed by an agent that is down was given up after 0.5 s and followed by a pause of 0.1 s, so a list told at the return could be asked for 0.6 s late, past the shortest grace of a drain (0.25 s); a reset watch waited 0.1 s; a process was up after 1 s without the agent's list.

Change: wait 1 s, silence 0.2 s, first new call at once, then pauses of 0.02 s, 0.5 s for reading an answer whose head has come; the sum against the list's clock stands in patience.py. /up waits 20 s at most for the list. Tests play five phases of a silent watch, a reset one, three outages, a start while discovery is down.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -131,7 +132,11 @@
     states: set[bytes] = field(default_factory=set)
     revision: int = 1
     asked: list[bytes] = field(default_factory=list)
+    asked_us: list[int] = field(default_factory=list)
     spoil: bytes | None = None  # what discovery says instead
+    watches: int = 0  # counted up: all connections to discovery that are open fall silent
+    down_until_us: int = 0  # discovery's agent is silent until then, for good on what came before
+    open_watches: list[Stream] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         for at, flavor in enumerate(["reads", "reads", "writes", "writes", "writes"]):
@@ -160,19 +165,31 @@
         listener = world.listen(host, int(port))
 
         def serve(stream: Stream) -> None:
-            parser = http1.RequestParser()
+            parser, era = http1.RequestParser(), self.watches
+            self.open_watches.append(stream)
+
+            def silent() -> bool:
+                return era != self.watches or world.now_us() < self.down_until_us
+
             while (head := read_request(stream, parser)) is not None:
                 self.asked.append(head.target)
+                self.asked_us.append(world.now_us())
                 query = dict(p.split(b"=") for p in head.target.partition(b"?")[2].split(b"&") if p)
                 until = world.now_us() + int(query.get(b"wait", 0)) * 1_000
-                while int(query.get(b"index", -1)) >= self.revision and world.now_us() < until:
+                while not silent() and int(query.get(b"index", -1)) >= self.revision and world.now_us() < until:
                     world.sleep_until(world.now_us() + 5_000)
+                if silent():
+                    world.sleep_until(world.now_us() + 3_600_000_000)
                 body = json.dumps({"revision": self.revision, "complete": True, "members": self.members()}).encode()
                 stream.write(plain(200, self.spoil or body))
 
+        def answer_it(stream: Stream) -> None:
+            with contextlib.suppress(StreamError):  # it was reset
+                serve(stream)
+
         def accept() -> None:
             while True:
-                world.spawn("serve", serve, listener.accept())
+                world.spawn("serve", answer_it, listener.accept())
 
         world.spawn("accept", accept)
         return world
--- /dev/null
+++ b/tests/test_node_lists.py
@@ -0,0 +1,124 @@
+"""The clock of the hosts' list: silence is found out, and asked about, well before what it hides counts as told."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from tests.platform_standin import SETTINGS, TOLD, Platform, answer
+from tests.test_node import play, writers
+from yardspindle.core.hosts.host_list import HostList, ListAnswer, Member
+from yardspindle.core.request import patience
+from yardspindle.node.app import Node
+from yardspindle.node.config import parse
+from yardspindle.protocol import http1
+from yardspindle.runtime.virtual import Simulation
+
+GRACE_LEAST_US = 250_000  # of a drain, in the deployments that are known
+
+
+def drain_one(platform: Platform) -> None:
+    writers(platform)[0].phase, platform.revision = "Terminating", platform.revision + 1
+
+
+def heard_after(platform: Platform, node: Node, within_us: int) -> int:
+    """How long after now the list in force is the newest; at most a millisecond too much."""
+    began = platform.sim.now_us()
+    while node.hosts.revision < platform.revision:
+        assert platform.sim.now_us() - began < within_us, "not heard in time"
+        platform.sleep(1_000)
+    return platform.sim.now_us() - began
+
+
+@pytest.mark.parametrize("phase", [0.0, 0.2, 0.5, 0.8, 0.999])
+def test_a_watch_that_falls_silent_is_found_out_in_any_phase_of_it(phase: float) -> None:
+    def main(platform: Platform, node: Node) -> None:
+        platform.sleep(10_000)
+        asked = len(platform.asked)
+        while len(platform.asked) == asked:
+            platform.sleep(1_000)
+        platform.sleep(round(phase * patience.WATCH_US))
+        platform.watches += 1
+        drain_one(platform)
+        told_us = max(6_000_000, round((1 - phase) * patience.WATCH_US) + 2_000_000)
+        assert heard_after(platform, node, told_us) < told_us
+
+    play(main)
+
+
+def test_a_watch_that_is_reset_is_asked_again_at_once() -> None:
+    def main(platform: Platform, node: Node) -> None:
+        platform.sleep(100_000)
+        drain_one(platform)
+        platform.sleep(10_000)
+        platform.revision += 1  # and this one while nothing is open
+        for stream in platform.open_watches:
+            stream.abort()
+        assert heard_after(platform, node, 100_000) < 20_000
+
+    play(main)
+
+
+@pytest.mark.parametrize("down_us", [1_300_000, 3_000_000, 8_123_000])
+def test_what_the_agent_got_while_it_was_down_is_heard_within_a_drains_grace(down_us: int) -> None:
+    def main(platform: Platform, node: Node) -> None:
+        platform.sleep(50_000)
+        platform.down_until_us = platform.sim.now_us() + down_us
+        platform.sleep(down_us)
+        drain_one(platform)
+        assert heard_after(platform, node, 1_000_000) < GRACE_LEAST_US
+
+    play(main)
+
+
+def test_a_dispatcher_that_starts_is_up_only_with_the_agents_list() -> None:
+    """What the agent has counts from the first moment: by the list that was known, a drained host was sent to."""
+    def main() -> None:
+        platform = Platform(sim)
+        platform.down_until_us = sim.now_us() + 4_000_000
+        known = {"revision": 1, "complete": True, "members": platform.members()}
+        world = sim.program("node")
+        node = Node(world, parse(TOLD, json.dumps({"known": known, "settings": SETTINGS}).encode()))
+        world.spawn("start", node.start)
+        drained = writers(platform)[0]
+        drain_one(platform)
+        up = http1.write_request(b"GET", b"/up", [(b"host", b"x")], b"")
+        statuses = []
+        while 200 not in statuses:
+            platform.sleep(100_000)
+            stream = platform.connect()
+            stream.write(up)
+            statuses.append(answer(platform.clients, stream, sim.now_us()).status)
+            stream.close()
+        assert node.hosts.revision == platform.revision and 503 in statuses
+        for number in range(9):
+            assert platform.ask(b"id%d" % number).whole
+        assert drained.name not in {name for what, name, _ in platform.seen if what in ("write", "place")}
+
+    sim = Simulation(5)
+    sim.run("main", main)
+    assert sim.crashes == []
+
+
+def test_a_dispatcher_is_up_in_the_end_though_discovery_never_answers() -> None:
+    def main() -> int:
+        platform = Platform(sim)
+        platform.down_until_us = sim.now_us() + 3_600_000_000
+        world = sim.program("node")
+        node = Node(world, parse(TOLD, json.dumps({"settings": SETTINGS}).encode()))
+        began = sim.now_us()
+        world.spawn("start", node.start).join()
+        return sim.now_us() - began
+
+    sim = Simulation(5)
+    assert sim.run("main", main) < 25_000_000  # 30 s is a refusal to start
+
+
+def test_an_old_answer_that_comes_late_changes_nothing() -> None:
+    hosts = HostList({})
+    one, two = Member("one"), Member("two", phase="Terminating")
+    assert hosts.take(ListAnswer(7, True, (one, two)))
+    for older in (ListAnswer(6, True, (one,)), ListAnswer(5, False, (Member("two"),)), ListAnswer(6, False)):
+        assert not hosts.take(older)
+    assert hosts.revision == 7 and len(hosts) == 2
--- a/yardspindle/core/request/patience.py
+++ b/yardspindle/core/request/patience.py
@@ -16,8 +16,14 @@
 FREE_US = 70_000  # one host to hear of a release: the rule's 300 ms leave time for a few
 FREE_FIRST_US = 50_000  # a new attempt for a release of its request that is under way
 
-# Discovery. What it has to tell counts as told two seconds after a wait is over, whether it came or not.
-WATCH_US = 5_000_000  # an agent that fell silent is found out so much later at most,
-SILENT_AGENT_US = 500_000  # and so much more
-AGENT_PAUSE_US = 100_000  # before a failed call is made again: a watch may not pause for over 0.2 s
-FIRST_LIST_US = 1_000_000  # "up" waits for its first answer, since what is known at the start may be old
+# Discovery. What a watch that fell silent misses counts as told 6 s after that, or 2 s after the wait of the call is
+# over, whichever is later. Silence that begins just after a call is the longest: it is found out after the wait and
+# the silence, and the call made then has to connect and be read: 1.0 + 0.2 + 0.2 + 0.5 = 1.9 s of the 3 s (6 s), also
+# if one such call fails too (+ 0.2 s). An agent that was down counts from its return: the call that it swallowed
+# last is given up 0.2 s later, and 0.02 s and its answer are left of the shortest grace of a drain, 0.25 s. Asking
+# costs an agent nothing, and it answers at once.
+WATCH_US = 1_000_000
+SILENT_AGENT_US = 200_000  # nothing comes of a call, connecting included, after its wait
+LIST_US = 500_000  # from an answer's head to its end
+AGENT_PAUSE_US = 20_000  # before a call that failed twice is made again; the first time it is made at once
+FIRST_LIST_US = 20_000_000  # what the agent has counts from our first moment: "up" waits for it; 30 s is no start
--- a/yardspindle/node/discovery.py
+++ b/yardspindle/node/discovery.py
@@ -19,7 +19,7 @@
 from yardspindle.runtime.world import World
 
 PATH = b"/discovery/hosts"
-CONNECT_US = 500_000
+CONNECT_US = patience.SILENT_AGENT_US
 LIMITS = http1.Limits(line=8_192, head=16_384, headers=64, body=4_194_304)
 
 
@@ -59,7 +59,8 @@
                     if not failures:
                         log.line("discovery is not heard", fault=f"{type(error).__name__}: {error}")
                     whole, failures = True, failures + 1
-                    self._world.sleep_until(self._world.now_us() + patience.AGENT_PAUSE_US)
+                    if failures > 1:
+                        self._world.sleep_until(self._world.now_us() + patience.AGENT_PAUSE_US)
                     continue
                 if changed:
                     self._news()
@@ -76,10 +77,11 @@
             target = PATH + b"?index=%d&wait=%d" % (self._hosts.revision, wait_us // 1_000)
         with self._world.deadline(self._world.now_us() + wait_us + patience.SILENT_AGENT_US):
             response = client.request(*address, b"GET", target, [])
-            try:
+        try:
+            with self._world.deadline(self._world.now_us() + patience.LIST_US):
                 body = response.read_all()
-            finally:
-                response.close()
+        finally:
+            response.close()
         if response.head.status != 200:
             raise ValueError(f"status {response.head.status}")
         try:
