--- a/yardspindle/core/hosts/directory.py
+++ b/yardspindle/core/hosts/directory.py
@@ -23,6 +23,8 @@
     events: str | None = None  # where it publishes cache events, and answers for missed ones
     replay: str | None = None
     up_since_ms: float = 0.0  # Unix time of its last start, as listed
+    zone: str = ""  # as listed: for the log alone, like the cell
+    cell: int = 0
     closed_us: int | None = None  # since when the edge knows that it drains or is gone; None while it serves
 
 
--- a/yardspindle/core/hosts/host_list.py
+++ b/yardspindle/core/hosts/host_list.py
@@ -105,4 +105,5 @@
         """The list as the edge's core needs it."""
         return [Server(self.number(m.id), m.id, m.host_port.rpartition(":")[0], int(m.host_port.rpartition(":")[2]),
                        self._roles[m.flavor], PHASES.get(m.phase, i.State.DRAINING), True,
-                       up_since_ms=m.up_since_ms) for m in self._members.values() if m.flavor in self._roles]
+                       up_since_ms=m.up_since_ms, zone=m.locality, cell=m.cell)
+                for m in self._members.values() if m.flavor in self._roles]
--- a/yardspindle/node/app.py
+++ b/yardspindle/node/app.py
@@ -20,6 +20,7 @@
 from yardspindle.node.discovery import Discovery
 from yardspindle.node.executor import EPOCH, Executor, Running
 from yardspindle.node.hosts import LIMITS, Hosts
+from yardspindle.node.trace import Trace
 from yardspindle.policy import Policy
 from yardspindle.protocol import http1
 from yardspindle.runtime.scheduler import DeadlineExceeded
@@ -155,7 +156,7 @@
         self._requests += 1
         number = self._requests
         ask = request.to_policy(asked, number, came_us, len(exchange.body))
-        run = Running(ask, asked.id, exchange, self.world.signal())
+        run = Running(ask, asked.id, exchange, self.world.signal(), trace=Trace(came_us))
         self._open_ids.add(asked.id)
         self.executor.running[number], self.executor.ids[number] = run, asked.id
         try:
@@ -169,6 +170,8 @@
             del self.executor.running[number]
             self._open_ids.discard(asked.id)
             self.executor.forget(number)
+            end = "left" if run.answer is None else run.answer.code
+            log.line("request", id=asked.id.decode(), **run.trace.fields(self.world.now_us(), ask, end))
 
     def _gone(self, run: Running) -> Callable[[], None]:
         def gone() -> None:
--- a/yardspindle/node/executor.py
+++ b/yardspindle/node/executor.py
@@ -21,6 +21,7 @@
 from yardspindle.engine.http_client import ExchangeBroken
 from yardspindle.node import log
 from yardspindle.node.hosts import EVENT, Ended, Hosts, Stream, cached
+from yardspindle.node.trace import Trace
 from yardspindle.protocol import http1
 from yardspindle.runtime.scheduler import DeadlineExceeded, Signal, Task
 from yardspindle.runtime.world import StreamError, World
@@ -41,6 +42,7 @@
     attempts: dict[int, Task] = field(default_factory=dict)
     sent: dict[int, Signal] = field(default_factory=dict)  # reads: set once the last byte is written
     heard_us: int = 0  # when the running stream last brought something
+    trace: Trace = field(default_factory=lambda: Trace(0))
 
 
 class Executor:
@@ -162,6 +164,8 @@
             self._core.rooms.silent(self._world.now_us(), command.server.number)
         elif ended.status is not i.Status.TIMEOUT:
             self._core.rooms.heard(self._world.now_us(), command.server.number)
+        if ended.status is i.Status.READ:
+            run.trace.read(self._world.now_us(), ended.note)
         if ended.status not in (i.Status.READ, i.Status.SERVED):
             log.line("attempt failed", id=run.id.decode(), at=command.server.name, kind=type(command).__name__,
                      status=ended.status.value, detail=ended.detail)
@@ -209,6 +213,7 @@
 
     def _written(self, command: c.Read | c.Write, run: Running) -> None:
         self._core.written(command.request, command.attempt)
+        run.trace.written(self._world.now_us(), command.server, isinstance(command, c.Read))
         signal = run.sent.get(command.attempt)
         if signal is not None:
             signal.set()
@@ -231,6 +236,7 @@
         if not begun:
             return None
         exchange = run.exchange
+        run.trace.first_us = self._world.now_us()
         stop_guard = self._guard_silence(run, stream)
         try:
             head = exchange.start(200, [(b"content-type", b"text/event-stream")])
@@ -278,6 +284,8 @@
                     signal.wait()
                 out = command.read_attempt in run.attempts and run.answer is None and not run.exchange.gone
                 held = out and self._hosts.ask_place(command.server, run.id)  # no read is out any more: never asked
+                if out:
+                    run.trace.place(held)
         except DeadlineExceeded:
             pass
         self.ids.setdefault(command.request, run.id)  # its release may be all that is left of it
--- a/yardspindle/node/log.py
+++ b/yardspindle/node/log.py
@@ -5,7 +5,7 @@
 import contextlib
 import sys
 
-LINE_MOST = 300
+LINE_MOST = 400
 
 
 def line(what: str, **fields: object) -> None:
