Name the field of any setting of a wrong type; play each effect in place of the others

Need: a configuration with a field missing or of the wrong type is one line naming file, field and reason. Seen: "goal-time-us": "soon" and "let-go-by-us": "late" ended as a comparison of str and int that named no field; an unknown effect named its value alone; a class whose name no header can carry was taken. Change: the settings' types are checked by msgspec before they are mapped (node/settings_schema.py). Fifteen wrong settings are tests. Also tests in which both classes are safe, keyed or unsafe in turn, with a deadline of 0.6 s, writers that answer 500 and writers that hang: no fault was found in them.

--- /dev/null
+++ b/tests/test_node_effects.py
@@ -0,0 +1,84 @@
+"""Any class may have any effect, and deadlines may be short: the settings alone say what is tried again."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from tests.platform_standin import SETTINGS, TOLD, Host, Platform, plain, write
+from tests.test_node import writers
+from yardspindle.node.app import Node
+from yardspindle.node.config import parse
+from yardspindle.runtime.virtual import Simulation
+from yardspindle.runtime.world import Stream
+
+SHORT_MS = 600
+
+
+def with_effect(effect: str) -> dict[str, Any]:
+    services = [{**row, "idempotency": effect, "goal-time-us": 200_000, "give-up-us": SHORT_MS * 1_000}
+                for row in SETTINGS["services"]]
+    return {**SETTINGS, "services": services}
+
+
+def play(effect: str, script: Any) -> tuple[Platform, list[int], list[int]]:
+    """Every writer's first call goes to the script; statuses and times of six requests of both classes."""
+    sim = Simulation(4)
+    statuses: list[int] = []
+    took: list[int] = []
+
+    def main() -> Platform:
+        platform = Platform(sim)
+        node = Node(sim.program("node"), parse(TOLD, json.dumps({"settings": with_effect(effect)}).encode()))
+        node.world.spawn("start", node.start).join()
+        for number in range(6):
+            calls: list[int] = []
+
+            def first(host: Host, to: Stream, known: bytes, calls: list[int] = calls) -> bool:
+                calls.append(1)
+                return bool(script(host, to)) if len(calls) == 1 else write(host, to, known)
+
+            for host in writers(platform):
+                host.script = first
+            answer = platform.ask(b"id%d" % number, (b"ask", b"order")[number % 2], SHORT_MS)
+            statuses.append(answer.status)
+            took.append(answer.took_us)
+            platform.sleep(1_000_000)
+        assert not node.core.life.open and not node.core.rooms.owed and not node.core.watch.last
+        return platform
+
+    platform = sim.run("main", main)
+    assert sim.crashes == []
+    return platform, statuses, took
+
+
+def errs(host: Host, to: Stream) -> bool:
+    to.write(plain(500))
+    return True
+
+
+def hangs(host: Host, to: Stream) -> bool:
+    host.sleep(60_000_000)
+    return False
+
+
+@pytest.mark.parametrize("effect", ["free", "guarded", "single_shot"])
+def test_what_may_have_run_is_tried_again_only_where_its_effect_allows(effect: str) -> None:
+    platform, statuses, _ = play(effect, errs)
+    for number, status in enumerate(statuses):
+        written = platform.kinds(b"id%d" % number).count("write")
+        if effect == "free":
+            assert (status, written) == (200, 2)
+        else:
+            assert (written, status) == (1, 502) or (written, status) == (1, 504)
+
+
+@pytest.mark.parametrize("effect", ["free", "guarded", "single_shot"])
+def test_a_short_deadline_is_kept_whatever_hangs(effect: str) -> None:
+    platform, statuses, took = play(effect, hangs)
+    assert max(took) < SHORT_MS * 1_000 + 50_000
+    for number, status in enumerate(statuses):
+        assert status != 200 and platform.kinds(b"id%d" % number).count("write") == 1
+        assert status == 503 if effect == "free" else status in (502, 504)
--- a/tests/test_node_more.py
+++ b/tests/test_node_more.py
@@ -167,7 +167,21 @@
     (json.dumps({"settings": SETTINGS, "listen": "x"}).encode(), "listen"),
     (json.dumps({"settings": SETTINGS, "limits": {"sockets": "many"}}).encode(), "limits.sockets"),
     (json.dumps({"settings": SETTINGS, "limits": {"sockets": 15}}).encode(), "limits.sockets"),
-    (json.dumps({"settings": {**SETTINGS, "me": 5}}).encode(), "me")])
+    (json.dumps({"settings": {**SETTINGS, "me": 5}}).encode(), "me"),
+    *((json.dumps({"settings": {**SETTINGS, **change}}).encode(), named) for change, named in (
+        ({"me": "first"}, "settings.me"), ({"instances": None}, "settings.instances"),
+        ({"shapes": []}, "settings.shapes"), ({"services": []}, "settings.services"),
+        ({"services": [{"name": "ask"}]}, "goal-time-us"),
+        ({"services": [{"name": "a\n", "goal-time-us": 1, "give-up-us": 1}]}, "services[0].name"),
+        ({"services": [{"name": "ask", "goal-time-us": "soon", "give-up-us": 9}]}, "services[0].goal-time-us"),
+        ({"services": [{"name": "ask", "goal-time-us": 9, "give-up-us": 5}]}, "aim_us of ask"),
+        ({"services": [{"name": "ask", "goal-time-us": 1, "give-up-us": 5, "idempotency": "often"}]}, "idempotency"),
+        ({"services": [{"name": "ask", "goal-time-us": 1, "give-up-us": 5}] * 2}, "classes"),
+        ({"family-info": {"duty-by-kind": ["read", "sing"]}}, "settings.family-info.duty-by-kind[1]"),
+        ({"family-info": {"let-go-by-us": "late"}}, "settings.family-info.let-go-by-us"),
+        ({"family-info": 7}, "settings.family-info"),
+        ({"allowed": {"most-tries": 0}}, "settings.allowed.most-tries"),
+        ({"obligations": {"start-capacity": 0}}, "settings.obligations.start-capacity")))])
 def test_a_bad_configuration_is_one_clear_line(data: bytes, named: str) -> None:
     with pytest.raises(ConfigError) as caught:
         parse(TOLD, data)
--- a/yardspindle/node/config.py
+++ b/yardspindle/node/config.py
@@ -14,6 +14,7 @@
 from yardspindle.core.hosts.host_list import ListAnswer
 from yardspindle.core.hosts.shares import SOCKETS_LEAST
 from yardspindle.core.request.open import EdgeRules
+from yardspindle.node import settings_schema
 from yardspindle.settings_map import settings
 
 VARIABLES = ("ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG")
@@ -74,11 +75,14 @@
     try:
         read = msgspec.json.decode(data, type=_File)
     except msgspec.ValidationError as error:
-        reason, _, where = str(error).partition(" - at `$")
-        raise ConfigError(f"{file}: {where.strip('`.') or 'the whole'}: {reason}") from None
+        raise _wrong(file, error) from None
     except msgspec.DecodeError as error:
         raise ConfigError(f"{file}: no JSON: {error}") from None
     raw = read.settings
+    try:
+        settings_schema.check(raw)
+    except msgspec.ValidationError as error:
+        raise _wrong(file, error, "settings") from None
     try:
         mapped = settings(raw)
     except KeyError as error:
@@ -101,6 +105,12 @@
         idle_us=int(allowed.get("conn-idle-us") or 15_000_000))
 
 
+def _wrong(file: str, error: msgspec.ValidationError, part: str = "") -> ConfigError:
+    reason, _, where = str(error).partition(" - at `$")
+    field = ".".join(filter(None, (part, where.strip("`."))))
+    return ConfigError(f"{file}: {field or 'the whole'}: {reason}")
+
+
 def read(read_file: Callable[[str], bytes], told: Mapping[str, str]) -> NodeConfig:
     """The configuration as its file stands now. Raises ConfigError."""
     path = told["ROUTER_CONFIG"]
--- /dev/null
+++ b/yardspindle/node/settings_schema.py
@@ -0,0 +1,94 @@
+"""The types that the platform's settings must have, so that a wrong one is named before anything is built on it.
+
+Keys that are not known are passed over. What the values mean is the settings' map's; bounds between fields are
+the interface's.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal
+
+from msgspec import Meta, Struct, convert
+
+Time = Annotated[float, Meta(ge=0, le=1e13)]  # microseconds; over a hundred days is no time
+Amount = Annotated[float, Meta(ge=0, le=1e15)]
+Name = Annotated[str, Meta(pattern=r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?\Z")]  # a header's value
+
+
+class _Class(Struct, rename="kebab"):
+    name: Name
+    goal_time_us: Annotated[float, Meta(gt=0, le=1e13)]
+    give_up_us: Annotated[float, Meta(gt=0, le=1e13)]
+    idempotency: Literal["free", "guarded", "single_shot"] = "single_shot"
+    group: str = "all"
+    window_us: Time = 0
+    worth: Amount = 1.0
+    late_worth: Amount = 0.0
+
+
+class _Tenant(Struct, rename="kebab"):
+    name: str
+    fraction: Amount = 0.0
+    quota_per_s: Amount = 0.0
+
+
+class _Family(Struct, rename="kebab"):
+    duty_by_kind: tuple[Literal["read", "write", "both"], ...] | None = None
+    memory_tokens: tuple[Amount, ...] | None = None
+    aim_us_per_1000_prompt_tokens: tuple[Time, ...] | None = None
+    token_aim_us: tuple[Time, ...] | None = None
+    holds_allowed: bool = False
+    read_in_place: bool = False
+    resume: bool = False
+    let_go_by_us: Annotated[float, Meta(ge=1)] = 1
+    transfer_price: float = 0.0
+
+
+class _Rules(Struct, rename="kebab"):
+    drain_grace_us: Time = 0
+    cold_us: Time = 0
+    start_capacity: Annotated[float, Meta(gt=0, le=1)] = 1.0
+    fall_multiple: Amount = 1.0
+    fall_us: Time = 0
+    answer_slack_us: Time = 0
+    ask_within_us: Time = 0
+
+
+class _Allowed(Struct, rename="kebab"):
+    most_tries: Annotated[int, Meta(ge=1)] = 1
+    max_open: Time | None = None
+    connect_timeout_us: Time | None = None
+    conn_idle_us: Time | None = None
+    max_retry_after_us: Time = 0
+    second_copies: bool = False
+    cancel: bool = False
+    probes: bool = False
+    peers: bool = False
+    retry_after: bool = False
+
+
+class _Prices(Struct, rename="kebab"):
+    late_fail: float = 0.0
+    waste: float = 0.0
+    cross_zone: float = 0.0
+
+
+class _Settings(Struct, rename="kebab"):
+    me: Annotated[int, Meta(ge=0)]
+    instances: Annotated[int, Meta(ge=1)]
+    services: Annotated[tuple[_Class, ...], Meta(min_length=1)]
+    shapes: Annotated[tuple[str, ...], Meta(min_length=1)]
+    zone: str = ""
+    realms: tuple[_Tenant, ...] | None = None
+    membership_mode: str = "push"
+    over_share_worth: float = 1.0
+    tick_us: Annotated[float, Meta(ge=1)] = 1
+    family_info: _Family | None = None
+    allowed: _Allowed | None = None
+    obligations: _Rules | None = None
+    prices: _Prices | None = None
+
+
+def check(raw: dict[str, Any]) -> None:
+    """Raises msgspec.ValidationError, which names the field, for settings of a wrong shape."""
+    convert(raw, _Settings)
