--- a/tests/test_edge_core.py
+++ b/tests/test_edge_core.py
@@ -130,6 +130,16 @@
     assert of(c.TellPlanner, late)[0].event == i.Outcome(1, 1, WRITER, i.Status.FULL, 0, False, 1)
 
 
+def test_what_was_let_go_of_is_not_warned_of_at_every_look_at_the_clock() -> None:
+    core = started()
+    core.arrive(0, ask())
+    core.act(0, 7, i.Send(1, READER))
+    core.act(0, 7, i.Ahead(1, WRITER))
+    core.attempt_ended(10, 1, 0, i.Status.FULL)
+    core.act(10, 7, i.Discard(1))
+    assert not any(of(c.Warn, core.tick(at)) for at in range(200_000, 500_000, 20_000))
+
+
 def test_a_lost_planner_settles_each_request_by_what_is_out() -> None:
     core = started()
     for number, cls in ((1, "safe"), (2, "safe"), (3, "once"), (4, "once"), (5, "once")):
--- a/yardspindle/core/request/ends.py
+++ b/yardspindle/core/request/ends.py
@@ -99,6 +99,7 @@
         if r.out is None or r.out.server.role is i.Role.READ:
             self._release_state(r)
         self._release_place(r)
+        r.held = False
 
     def _release_all(self, r: Open) -> None:
         """One word lets go of everything; none while a write is out, since it would take the state from under it."""
