Send trials to readers that look late only where connections are seen to break

At fault: Readers._late, whose trials feed hung readers and ones jammed by a long prompt.

A test plays both; it fails without the condition.

--- a/tests/test_choices_failures.py
+++ b/tests/test_choices_failures.py
@@ -216,3 +216,15 @@
     if resumed:
         assert 1 in sends(router.end(1, 0, 1, i.Status.READ)) + sends(router.sweep(40))
         assert 2 in router.policy.open
+
+
+@pytest.mark.parametrize("breaks", [False, True])
+def test_a_late_reader_gets_a_trial_only_where_connections_are_seen_to_break(breaks: bool) -> None:
+    """Trials find lost reads; where none got lost they fed readers that hung or were jammed by a long prompt."""
+    router = Router("rrw")
+    reader = sends(router.ask())[0]
+    router.policy.best_rate = 0.02
+    if breaks:
+        router.feed(i.Outcome(98, 0, 3, i.Status.CONNECT_FAILED, MS, False, stale=True))
+    router.sweep(1_500)
+    assert sends(router.ask()) == [reader if breaks else 3 - reader]
--- a/yardspindle/policy/life.py
+++ b/yardspindle/policy/life.py
@@ -123,6 +123,8 @@
             # A kept connection that broke under its next request, or one reset while it was made, says that
             # connections break: not that a server died.
             self._strike(server, status.value)
+        if event.stale:
+            self.lossy_us = self.now
         sent = self.now - event.latency_us
         if status is i.Status.TIMEOUT and server.role is i.Role.READ and sent >= server.answered_us:
             server.late_us, server.late_at = self._longer(max(event.latency_us, self.least_aim)), self.now
@@ -194,6 +196,7 @@
         seq, server = next(iter(r.out.items()))
         self.acts.append(i.Cancel(r.ask.request, seq))
         r.given_up.add(seq)
+        self.lossy_us = self.now
         if self._uncount(r, seq):
             self._drop_held(r)
             return self._start(r)
--- a/yardspindle/policy/readers.py
+++ b/yardspindle/policy/readers.py
@@ -24,8 +24,10 @@
                    0.0 if self.cells.get(server.entry.cell, (0.0, 0.0))[1] else self._slow(server.entry.cell))
         out = [(number, sent) for (number, _), sent in server.out.items() if sent >= server.answered_us]
         # The oldest that is out may be later still. One request lost on its way looks like a reader that
-        # jams, as long as nothing else is sent there: so trials go, each after twice the time of the last.
-        if out and self.now - out[-1][1] < max(TRIAL_US, (self.now - out[0][1]) / 2):
+        # jams, as long as nothing else is sent there: so trials go, each after twice the time of the last;
+        # but only where connections are seen to break: elsewhere they fed jammed or hung readers alone.
+        trial = self.now - self.lossy_us < KEY_SPAN_US
+        if out and not (trial and self.now - out[-1][1] >= max(TRIAL_US, (self.now - out[0][1]) / 2)):
             late = max(late, self.now - out[0][1] - self._own(self.open[out[0][0]]))
         return late
 
--- a/yardspindle/policy/state.py
+++ b/yardspindle/policy/state.py
@@ -86,6 +86,7 @@
         self.read_tokens = 0.0  # running mean of our tokens ahead of a read and its own
         self.least_aim = min(cls.aim_us for cls in settings.classes)
         self.log_us = 0
+        self.lossy_us = LONG_AGO_US  # when a break last said nothing of its server, or a request got lost
         self.refused_us = LONG_AGO_US  # when a writer last had no place for us
         self.held = 0.0  # own tokens that take up writers' memory
         self.sweep_set = False
