Send nothing on a new connection that its host ended before the first byte

Cause: `HttpClient.request` looked again only at kept connections after `ready`, which may wait for a release, a turn of the client's watch or the list. A new one that had brought FIN meanwhile was written to, and the reset that followed counted as a request that may have run: an order failed that another host could have served. PROTOCOL: a connection that breaks before the last byte is written has never run. Change: it is looked at whether new or kept; a new one that is not quiet is closed and told as `NotSent`. The planted fault "a kept connection is not looked at" names the line as it is now; it is found as before. Result: the new test fails without the change for FIN and passes with it; for RST it passed before, as the write fails.

--- a/tests/crossing_planted.py
+++ b/tests/crossing_planted.py
@@ -70,7 +70,7 @@
         "after its drain was told", 210),
     "a kept connection is not looked at": Planted((
         (HttpClient, "_take", "elif connection.stream.quiet():", "elif True:"),
-        (HttpClient, "request", "or connection.stream.quiet():", "or True:")), "no host made", 704),
+        (HttpClient, "request", "if connection.stream.quiet():", "if True:")), "no host made", 704),
     "a kept connection does not rest": one(
         HttpClient, "_rested", "connection.used_us + rest_us <=", "connection.used_us <=",
         "two attempts out at once", 43),
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -12,7 +12,7 @@
 from yardspindle.core.hosts.directory import Server
 from yardspindle.core.request.proof import PROVES_NOT_RUN, may_have_run
 from yardspindle.edge.executor import Running
-from yardspindle.engine.http_client import ExchangeBroken, HttpClient
+from yardspindle.engine.http_client import ExchangeBroken, HttpClient, NotSent
 from yardspindle.engine.vllm import AnswerStream, Ended, EngineClient, read_body, write_body
 from yardspindle.interface import Role, State, Status
 from yardspindle.protocol import http1
@@ -216,6 +216,30 @@
     assert with_peer(script, use) == (2, 2, 1)
 
 
+@pytest.mark.parametrize("reset", [False, True])
+def test_a_connection_that_its_server_ends_before_the_first_byte_has_had_nothing_sent(reset: bool) -> None:
+    """What waits before a first byte may be overtaken by the server's end: that is no request that may have run."""
+    world = RealWorld(1)
+
+    def main() -> None:
+        listener = world.listen("127.0.0.1", 0)
+        accepted = world.spawn("accept", listener.accept)
+
+        def ready() -> http1.Headers:
+            far: Stream = accepted.join()
+            far.abort() if reset else far.finish()
+            world.sleep_until(world.now_us() + 1_000)
+            return []
+
+        with pytest.raises(NotSent):
+            HttpClient(world, 1_000_000, 1_000_000).request(
+                "127.0.0.1", listener.port, b"POST", b"/", [], b"{}", ready=ready)
+        if not reset:
+            assert accepted.result.read() == b""
+
+    world.run("main", main)
+
+
 def test_a_connection_that_the_engine_closed_with_its_answer_is_not_kept() -> None:
     def use(world: RealWorld, peer: Peer, engines: EngineClient) -> tuple[int, int, int]:
         for number in range(3):
--- a/yardspindle/engine/http_client.py
+++ b/yardspindle/engine/http_client.py
@@ -117,15 +117,18 @@
         a kept one is used only if its last answer ended `rest_us` ago. `descriptor_us` bounds the wait for a descriptor
         where none is left; the time for the connection begins after it.
 
-        Raises ConnectError when nothing was sent and ExchangeBroken when something may have been.
+        Raises ConnectError or NotSent when nothing was sent whole, and else ExchangeBroken: it may have arrived.
         """
         key = (host, port)
         name = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         while True:
             connection = self._take(key, rest_us) or self._open(key, connect_us, descriptor_us)
             late = self._ready(connection, ready)
-            if not connection.used_us or connection.stream.quiet():
+            if connection.stream.quiet():
                 break
+            if not connection.used_us:
+                connection.stream.close()
+                raise NotSent("closed before the request's first byte")
             self._not_used(connection)  # it was while `ready` waited
         done = False
         try:
