Bound the sum of bodies that clients are sending, also of first requests

Need: a flood may begin one body of 256 KiB on each of some 500 connections: 130 MB, where 96 to 128 MB are given. Only what came ahead of its turn was counted together (`Inbox._event`).

--- a/tests/test_node_cores.py
+++ b/tests/test_node_cores.py
@@ -350,7 +350,7 @@
 
 @pytest.mark.parametrize("sockets", [16, 256, 768, 1024])
 def test_descriptors_suffice_for_clients_their_streams_and_what_is_kept(sockets: int) -> None:
-    shares = Shares(sockets)
+    shares = Shares(sockets, 96)
     hosts, requests = 11, sockets // 3  # a third is the most that clients hold for requests
     assert shares.clients > requests
     if sockets >= 256:
--- a/tests/test_serving_close.py
+++ b/tests/test_serving_close.py
@@ -301,6 +301,29 @@
     assert budget.kept == 0
 
 
+def test_bodies_that_come_together_are_bounded_and_each_is_answered_at_its_end() -> None:
+    """Of first requests, too: many clients that begin one each must not fill the memory."""
+    def use(world: RealWorld, server: Server, handler: Handler, connect: Connect) -> bytes:
+        client = connect()
+        client.write((POST % (b"big", 200_000) + b"x" * 200_000) + GET % b"last")
+        got = b""
+        while not got.endswith(b"/last"):
+            got += client.read()
+        client.close()
+        return got
+
+    got, faults = serve(use, bodies=100_000)
+    assert re.findall(rb"HTTP/1.1 (\d+)", got) == [b"503", b"200"] and not faults
+    budget = Budget(bodies=500_000)
+    inboxes = [Inbox(http1.Limits(), budget) for _ in range(4)]
+    for inbox in inboxes:
+        inbox.feed(0, POST % (b"big", 200_000) + b"x" * 199_999)
+    assert budget.kept == 2 * 199_999
+    for inbox in inboxes:
+        inbox.feed(1, b"x")
+    assert [inbox.waiting[0].whole for inbox in inboxes] == [True, True, False, False]
+
+
 HEADS = b"GET / HTTP/1.1\r\nHost: x\r\n" + b"".join(b"h%d: %s\r\n" % (at, b"v" * 200) for at in range(60)) + b"\r\n"
 CHUNKS = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + b"2\r\nxy\r\n" * 20_000
 
--- a/yardspindle/api/inbox.py
+++ b/yardspindle/api/inbox.py
@@ -33,9 +33,10 @@
 
 @dataclass(slots=True)
 class Budget:
-    """What all connections of a server keep ahead."""
+    """What all connections of a server keep."""
 
-    most: int = AHEAD_ALL_MOST
+    most: int = AHEAD_ALL_MOST  # bytes of bodies, of which one lies ahead
+    bodies: int = 0  # bytes of bodies in all, those among them that are still coming; 0: no bound
     kept: int = 0
     heads: int = 0
 
@@ -123,9 +124,9 @@
         if isinstance(event, http1.RequestHead):
             self._head, self._whole = event, True
         elif isinstance(event, http1.Data):
-            ahead = self.answering or bool(self.waiting)
-            if ahead and (self._kept + len(event.data) > AHEAD_BYTES_MOST
-                          or self.budget.kept + len(event.data) > self.budget.most):
+            ahead, all_kept = self.answering or bool(self.waiting), self.budget.kept + len(event.data)
+            if (0 < self.budget.bodies < all_kept
+                    or ahead and (self._kept + len(event.data) > AHEAD_BYTES_MOST or all_kept > self.budget.most)):
                 self._whole = False
             if self._whole:
                 self._body += event.data
--- a/yardspindle/api/serving.py
+++ b/yardspindle/api/serving.py
@@ -37,6 +37,7 @@
     fresh_us: int = 0  # how long a connection may bring nothing at all; 0: as long as it may be idle
     body_us: int = 15_000_000
     most: int = 0  # connections at a time; 0: no bound. Past it the one that has been idle longest is closed
+    bodies: int = 0  # bytes of requests' bodies that are coming or wait; 0: no bound. One past it is refused at its end
 
 
 TOO_MUCH = Reply(503, [(b"content-type", b"text/plain")], b"more at once than may wait\n")
@@ -65,7 +66,7 @@
         self._connections: dict[Task, None] = {}
         self._idle: dict[Task, _Resting] = {}  # those that are between requests, the longest idle first
         self._lingering: dict[Task, Stream] = {}  # those that we have ended, the oldest first
-        self._budget = Budget()
+        self._budget = Budget(bodies=limits.bodies)
         self.draining = False
         self.closing = False  # answers say that their connection closes
         self._over = False
--- a/yardspindle/node/app.py
+++ b/yardspindle/node/app.py
@@ -47,7 +47,7 @@
         session = PlanningSession(lambda event, at_us: policy.handle(at_us, event), now, now)
         self.policy = policy
         self.hosts = HostList(config.roles)
-        self.shares = Shares(min(config.limits.sockets, world.descriptors()))
+        self.shares = Shares(min(config.limits.sockets, world.descriptors()), config.limits.memory_mb)
         idle_us = round(config.idle_us * timeouts.IDLE_PART)
         self.http = HttpClient(world, config.connect_us, idle_us, self.shares.kept, LIMITS,
                                trust=PoolTrust(idle_us), head_us=timeouts.HEAD_US)
@@ -71,7 +71,7 @@
         limits = ServingLimits(
             CLIENT_LIMITS, idle_us=timeouts.IDLE_CLIENT_US, header_us=timeouts.SILENT_CLIENT_US,
             stalled_us=timeouts.STALLED_CLIENT_US, fresh_us=timeouts.SILENT_CLIENT_US,
-            body_us=timeouts.SILENT_CLIENT_US, most=self.shares.clients)
+            body_us=timeouts.SILENT_CLIENT_US, most=self.shares.clients, bodies=self.shares.bodies)
         self._server = Server(self.world, listener, self, limits, _fault)
         self.executor.perform(self.core.planner_up(self.world.now_us(), EPOCH))
         self.hosts.known(config.known)
