Take the look before timers back: requests that wait for a descriptor starved

Seen: test_requests_at_once_are_served_with_the_least_descriptors failed in 5 of 5 runs on a machine at a load of 20 to 27, with `Too many open files` for writes whose state was held. Cause: tasks that wait for a descriptor try again by a timer each 5 ms, in no order; woken first, tasks whose sockets have something took each descriptor that came free, and a write that may wait 112 ms got none. The look can come back once those that wait for descriptors stand in line, the one with least time first. Result: what the change was for stays open: a stall of half a second may pass the bounds of heads and bodies.

--- a/yardspindle/runtime/scheduler.py
+++ b/yardspindle/runtime/scheduler.py
@@ -247,7 +247,6 @@
     def _loop(self) -> None:
         stopping = False
         while True:
-            ran = bool(self._ready)
             for _ in range(len(self._ready)):
                 task, value, error = self._ready.popleft()
                 if task.gate is not None and task.gate.shut:
@@ -268,10 +267,7 @@
                     task.cancel()
             if not self.tasks:
                 return
-            now = self.poller.now_us()
-            if ran and (due := self.timers.next_due_us()) is not None and due <= now:
-                self.poller.wait(now)  # what came while the tasks ran wakes its task before its time runs out
-            for callback in self.timers.pop_due(now):
+            for callback in self.timers.pop_due(self.poller.now_us()):
                 callback()
             if self._ready:
                 self.poller.wait(0)
