Call what the policy does to a failing host ejection, its part for cold ones slow start

Change: names alone: `_strike` to `_eject`, `strikes` to `failures`, `struck_us` to `failed_us`, `shut_until` to `ejected_until`, `COLD_PART` to `SLOW_START_PART`; the log says `ejected N: reason`.

--- a/benchmarks/slow_start.py
+++ b/benchmarks/slow_start.py
@@ -3,8 +3,9 @@
     python benchmarks/slow_start.py
 
 N is fall_multiple x warmth x (work of its kind that a warm host does in fall_us), with a line for the ramp. What
-arrives is COLD_PART x warmth x g x that work, g being the load of the warm fleet times what comes on top: the burst,
-the host's part of the requests over its even one, repeats. Each request is drawn for itself, so arrivals are Poisson
+arrives is SLOW_START_PART x warmth x g x that work, g being the load of the warm fleet times what comes on top: the
+burst, the host's part of the requests over its even one, repeats. Each request is drawn for itself, so arrivals are
+Poisson
 whatever part of the traffic each dispatcher has. A window beyond the allowance can be taken to begin with one of its
 arrivals: the chance of any is at most the sum over arrivals of the chance that so many follow in fall_us.
 """
@@ -15,7 +16,7 @@
 import random
 from itertools import accumulate
 
-from yardspindle.policy.hosts import COLD_PART
+from yardspindle.policy.hosts import SLOW_START_PART
 
 STEPS = 200
 CHANCE = 1e-3  # of one fall among all hosts that are cold at once
@@ -77,12 +78,12 @@
 
 def main() -> None:
     """Print the sum for the settings that were seen, and the spread of both ways to share."""
-    print(f"sent over what the host can do, for a chance of {CHANCE:g} of one fall; over COLD_PART: g")
+    print(f"sent over what the host can do, for a chance of {CHANCE:g} of one fall; over SLOW_START_PART: g")
     for site in SITES:
         print("start {}, cold {:g} s, multiple {} in {:g} s".format(*site))
         for hosts in (1, 2, 32, 512):
             print(f"  {hosts} cold: " + ", ".join(
-                f"work {work}: {(part := most(hosts, work, site)):.2f} (g {part / COLD_PART:.2f}; without a ramp "
+                f"work {work}: {(part := most(hosts, work, site)):.2f} (g {part / SLOW_START_PART:.2f}; without a ramp "
                 f"{most(hosts, work, site, line=False):.2f})" for work in WORK))
     for dispatchers in (2, 32, 1_024):
         for uneven in (0.0, 1.5):
--- a/tests/test_choices_failures.py
+++ b/tests/test_choices_failures.py
@@ -70,7 +70,7 @@
     for cls in ("safe", "safe", "dear"):  # the first is read, the others wait
         router.ask(cls)
     router.end(1, 0, 1, i.Status.RESET)
-    router.policy.servers[1].strikes, router.policy.servers[1].shut_until = 0, 0
+    router.policy.servers[1].failures, router.policy.servers[1].ejected_until = 0, 0
     assert [a.request for a in router.sweep(20) if isinstance(a, i.Send)][:1] == [3]
 
 
@@ -81,12 +81,12 @@
     assert not Router("rw").feed(i.Members(i.ListKind.STALE, 1, ()))
 
 
-def test_restart_voids_strikes() -> None:
+def test_restart_voids_ejections() -> None:
     router = Router("rw")
     router.ask()
     router.end(1, 0, 1, i.Status.RESET)
     router.change(1, i.State.SERVING, since=router.now)
-    assert router.policy.servers[1].strikes == 0
+    assert router.policy.servers[1].failures == 0
 
 
 def test_read_that_ends_when_its_whole_cell_is_gone() -> None:
@@ -176,21 +176,21 @@
     assert not [a for a in router.sweep(2_500) if getattr(a, "request", 0) == 1 and not isinstance(a, i.Fail)]
 
 
-def test_a_reset_connection_strikes_nobody_and_a_reset_alone_makes_no_server_cold() -> None:
-    """Resets of kept connections had most of a warm fleet set aside, and counted as freshly started."""
+def test_a_reset_connection_ejects_nobody_and_a_reset_alone_makes_no_server_cold() -> None:
+    """Resets of kept connections had most of a warm fleet ejected, and counted as freshly started."""
     router = Router("rw")
     reader = router.policy.servers[1]
-    for number, (status, stale, strikes) in enumerate([
+    for number, (status, stale, failures) in enumerate([
             (i.Status.RESET, True, 0), (i.Status.CONNECT_FAILED, True, 0), (i.Status.RESET, False, 1)], 1):
         assert sends(router.ask()) == [1]
         router.feed(i.Outcome(number, 0, 1, status, 1 * MS, False, stale=stale))
-        assert reader.strikes == strikes
+        assert reader.failures == failures
         router.feed(i.Hangup(number))
     assert router.policy._warmth(reader) == 1
     router.sweep(300)
     router.ask()
     router.end(4, 0, 1, i.Status.READ)
-    assert reader.strikes == 0 and router.policy._warmth(reader) == 1
+    assert reader.failures == 0 and router.policy._warmth(reader) == 1
 
 
 def test_readers_of_the_own_zone_draw_more_keys_where_attempts_across_zones_cost() -> None:
--- a/tests/test_crossings_descriptors.py
+++ b/tests/test_crossings_descriptors.py
@@ -73,7 +73,7 @@
                 client.ask(f"r{turn}-{at}", key=f"k{at}")
             stage.play(*clients)
             assert [client.answer().status for client in clients] == [200] * 6
-        assert not [row for _, row in stage.log if "set aside" in row]  # no strike
+        assert not [row for _, row in stage.log if "ejected" in row]  # nobody is ejected
         stage.check()
 
 
@@ -93,7 +93,7 @@
         stage.check()
 
 
-def test_a_connection_for_which_no_descriptor_is_left_is_no_strike(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_connection_for_which_no_descriptor_is_left_ejects_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
     def main(platform: Platform, node: Node) -> Any:
         def none(*_: Any) -> None:
             raise NoDescriptor("Too many open files")
@@ -103,7 +103,7 @@
             answer = platform.ask(b"9b1f03aa5c7e2d41", deadline_ms=3_000)
             assert answer.status == 503
             assert not node.core.rooms._silent
-            assert not any(server.strikes for server in node.policy.servers.values())
+            assert not any(server.failures for server in node.policy.servers.values())
         return platform.ask(b"9b1f03aa5c7e2d42").status
 
     assert play(main) == 200
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -120,20 +120,20 @@
         served = platform.ask(b"ask1")
         assert (served.status, served.whole) == (200, True)
         assert platform.kinds(b"ask1").count("write") == 2
-        assert all(server.strikes == 0 for server in node.policy.servers.values())
+        assert all(server.failures == 0 for server in node.policy.servers.values())
 
     play(main)
 
 
 @pytest.mark.parametrize("later", [b"zz\r\n", b"3\r\nabcdef\r\n", b"c0000000\r\n" + b"x" * 1000])
-def test_a_stream_spoilt_later_ends_without_the_last_chunk_and_strikes_nobody(later: bytes) -> None:
+def test_a_stream_spoilt_later_ends_without_the_last_chunk_and_ejects_nobody(later: bytes) -> None:
     def main(platform: Platform, node: Node) -> None:
         for host in writers(platform):
             host.script = says(HEAD + http1.write_chunk(EVENTS[0]), later)
         answer = platform.ask(ID)
         assert (answer.status, answer.whole, answer.body) == (200, False, EVENTS[0])
         assert answer.took_us < 1_000_000
-        assert all(server.strikes == 0 for server in node.policy.servers.values())
+        assert all(server.failures == 0 for server in node.policy.servers.values())
 
     play(main)
 
--- a/tests/test_node_sending.py
+++ b/tests/test_node_sending.py
@@ -138,10 +138,10 @@
         for number in range(3):
             answer = platform.ask(b"in-a-hurry-%d" % number, deadline_ms=100)
             assert answer.status in (429, 503)
-        assert not any(known.strikes for known in node.policy.servers.values())
+        assert not any(known.failures for known in node.policy.servers.values())
         patient = platform.ask(b"patient", deadline_ms=2_000)
         assert patient.status in (429, 503)
-        assert any(known.strikes for known in node.policy.servers.values())  # their own time was up
+        assert any(known.failures for known in node.policy.servers.values())  # their own time was up
 
     play(main)
 
--- a/tests/test_node_stalled.py
+++ b/tests/test_node_stalled.py
@@ -63,7 +63,7 @@
         got = stalled(platform, STALL_US)
         assert got.whole and got.body == EVENTS[0] + LARGE * large + EVENTS[-1]
         assert len(ends) == 1 and isinstance(ends[0], int)
-        assert not any(server.strikes for server in node.policy.servers.values())
+        assert not any(server.failures for server in node.policy.servers.values())
         at_ease(platform, node)
 
     play(main)
--- a/yardspindle/policy/hosts.py
+++ b/yardspindle/policy/hosts.py
@@ -7,7 +7,7 @@
 from yardspindle import interface as i
 from yardspindle.policy.state import KEY_SPAN_US, LONG_AGO_US, TRIAL_US, Open, Server, State
 
-COLD_PART = 0.8  # of the requests that a cold server is sent for what it can do: room for chance and repeats
+SLOW_START_PART = 0.8  # of the requests that a cold server gets for what it can do: room for chance, repeats
 PULL_MOST = 1.1  # a reader in a cell with many writers gets at most so many times its even part of the keys
 PULL_ROUNDS = 8  # in which the parts of the cells come to add up to one
 
@@ -24,7 +24,7 @@
             known = self.servers.setdefault(
                 entry.server, Server(entry, kind.role, kind.memory_tokens, entry.up_since_us or LONG_AGO_US))
             if entry.up_since_us > known.entry.up_since_us:  # restarted: what we held against it is void
-                known.strikes, known.shut_until, known.since_us = 0, 0, entry.up_since_us
+                known.failures, known.ejected_until, known.since_us = 0, 0, entry.up_since_us
                 known.refused = 0
                 known.full.clear()
                 known.kept.clear()
@@ -57,20 +57,20 @@
         self.cells = {c: (r * self.pull[c], w) for c, (r, w) in parts.items()}
         self.spare = [max(w - r, 0.0) for r, w in self.cells.values()]
 
-    def _strike(self, server: Server, why: str) -> None:  # pause it, then let single trials through
-        server.strikes += 1
+    def _eject(self, server: Server, why: str) -> None:  # pause it, then let single trials through
+        server.failures += 1
         server.refused += why == i.Status.CONNECT_FAILED.value
-        if server.strikes == 1:
-            server.struck_us = self.now
-            self.acts.append(i.Log(f"set aside {server.entry.server}: {why}"))
-        server.shut_until = self.now + TRIAL_US * (1 << min(server.strikes - 1, 3))
+        if server.failures == 1:
+            server.failed_us = self.now
+            self.acts.append(i.Log(f"ejected {server.entry.server}: {why}"))
+        server.ejected_until = self.now + TRIAL_US * (1 << min(server.failures - 1, 3))
 
     def _alive(self, server: Server, r: Open, sent: int | None) -> None:  # lives, and takes the tenant's work
         # It was down, so it restarted, and the list, seconds late, has not told yet. Connections that broke
         # on the way are no restart: taken for one, a few resets had most of a warm fleet count as cold.
-        if server.refused and (sent or self.now) >= server.struck_us:
+        if server.refused and (sent or self.now) >= server.failed_us:
             server.since_us = self.now
-        server.strikes = server.refused = 0
+        server.failures = server.refused = 0
         server.answered_us = max(server.answered_us, sent or LONG_AGO_US)
         server.full.pop(r.ask.tenant, None)
 
@@ -82,11 +82,11 @@
 
     def _fit(self, usable: list[Server], known: int, r: Open) -> list[Server]:
         """Leave out what is cold, but for the part of the requests that it can do."""
-        part = COLD_PART * len(usable) / max(known, 1)
+        part = SLOW_START_PART * len(usable) / max(known, 1)
         return [s for s in usable if (warmth := self._warmth(s)) >= 1 or r.draw < part * warmth]
 
     def _usable(self, server: Server, r: Open) -> bool:  # not shut (for the tenant), no trial out
-        shut = max(server.shut_until, server.full.get(r.ask.tenant, (0, 0))[0])
+        shut = max(server.ejected_until, server.full.get(r.ask.tenant, (0, 0))[0])
         return (not server.gone and self.now >= shut
-                and not (server.strikes and server.out and self.now - max(server.out.values()) < TRIAL_US)
+                and not (server.failures and server.out and self.now - max(server.out.values()) < TRIAL_US)
                 and server.entry.server not in r.avoid)
--- a/yardspindle/policy/life.py
+++ b/yardspindle/policy/life.py
@@ -122,7 +122,7 @@
         elif status in (i.Status.CONNECT_FAILED, i.Status.RESET) and not event.stale:
             # A kept connection that broke under its next request, or one reset while it was made, says that
             # connections break: not that a server died.
-            self._strike(server, status.value)
+            self._eject(server, status.value)
         if event.stale:
             self.lossy_us = self.now
         sent = self.now - event.latency_us
--- a/yardspindle/policy/state.py
+++ b/yardspindle/policy/state.py
@@ -28,10 +28,10 @@
     out: dict[tuple[int, int], int] = field(default_factory=dict)  # attempts without an answer yet: sent when
     tokens: float = 0.0  # own prompt tokens waiting at the reader
     streams: int = 0  # own answers and places at the writer
-    strikes: int = 0  # failed connections since it last answered
-    struck_us: int = 0  # when the first of them was seen
+    failures: int = 0  # failed connections since it last answered
+    failed_us: int = 0  # when the first of them was seen
     refused: int = 0  # those of them that were never made
-    shut_until: int = 0
+    ejected_until: int = 0
     full: dict[str | None, tuple[int, int]] = field(default_factory=dict)  # by tenant: shut until, times full
     kept: dict[str, float] = field(default_factory=dict)  # texts it has read for us: tokens
     late_us: float = 0.0  # how long a read there last took beyond its own reading, seen when
