Fail an unsafe request whose attempt is cut off as the process leaves, also at a reader

In both logs: SIGTERM, a read written on a new connection to a reader that answered the other dispatchers meanwhile, a place asked, no answer for 3.3 and 2.2 s, no write anywhere, and at `leaving` the read broken off and a refusal. Lines: `Lifecycle.leave` refused by the rule for reads. Change: as a process leaves, an attempt whose last byte was written and that nobody answered is taken for one that may have run, at a reader too; an unsafe or keyed request then fails. One that was not written, and a safe one, is refused as before.

--- a/tests/test_node_effects.py
+++ b/tests/test_node_effects.py
@@ -82,3 +82,33 @@
     for number, status in enumerate(statuses):
         assert status != 200 and platform.kinds(b"id%d" % number).count("write") == 1
         assert status == 503 if effect == "free" else status in (502, 504)
+
+
+@pytest.mark.parametrize(("effect", "written", "status"), [
+    ("free", True, 503), ("free", False, 503), ("single_shot", True, 502), ("single_shot", False, 503),
+    ("guarded", True, 502), ("guarded", False, 503)])
+def test_an_attempt_cut_off_as_the_process_leaves_is_no_ground_for_a_refusal(
+        effect: str, written: bool, status: int) -> None:
+    """Of one whose last byte went out nothing is known, also at a reader, where a refusal says that it has not run."""
+    sim = Simulation(5)
+
+    def main() -> None:
+        platform = Platform(sim)
+        node = Node(sim.program("node"), parse(TOLD, json.dumps({"settings": with_effect(effect)}).encode()))
+        node.world.spawn("start", node.start).join()
+
+        def silent(host: Host, to: Stream, number: bytes) -> bool:
+            host.sleep(60_000_000)
+            return False
+
+        for host in platform.hosts.values():
+            host.script = silent
+            if not written:  # no connection comes up
+                sim.network.cut("node", host.name)
+        asked = platform.clients.spawn("ask", platform.ask, b"id", b"order", SHORT_MS)
+        platform.sleep(100_000)
+        node.executor.perform(node.core.leave(node.world.now_us()))
+        assert asked.join().status == status and not node.core.watch.last
+
+    sim.run("main", main)
+    assert sim.crashes == []
--- a/yardspindle/core/request/lifecycle.py
+++ b/yardspindle/core/request/lifecycle.py
@@ -72,6 +72,7 @@
                     self._commands.append(c.LastWords(r.ask.request, r.out.number))
                 continue
             if r.out is not None:
+                r.ran = r.ran or self.rules.release_whole and r.out.written  # a read, too: see docs/questions.md
                 self._abort(now_us, r)
             self._give_up(r, "draining", 0)  # others are there: no time to wait for
         return self._take()
