--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,17 +1,38 @@
-"""What holds for all tests: drawn cases are the same at every run; one real dispatcher for the crossings of a file."""
+"""What holds for all tests: drawn cases are the same at every run; known failures; one dispatcher for a file."""
 
 from __future__ import annotations
 
 from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 from hypothesis import settings
 
 from tests.crossings import Shared, Stage
+from tests.known_failures import KnownFailure, read_known_failures
 
 settings.register_profile("same", derandomize=True, deadline=None)
 settings.load_profile("same")
 
+KNOWN_FAILURES = Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Expect the listed tests to fail; one that passes fails the run, so that it is taken off the list."""
+    for item in items:
+        for known in read_known_failures(KNOWN_FAILURES):
+            if known.names(item.nodeid):
+                item.add_marker(pytest.mark.xfail(reason=known.cause, strict=True))
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    """Print what is known to fail."""
+    known: list[KnownFailure] = read_known_failures(KNOWN_FAILURES)
+    if known:
+        terminalreporter.section("known failures, listed in KNOWN-RED.txt")
+    for row in known:
+        terminalreporter.line(f"{row.test}: {row.cause} ({row.issue})")
+
 
 @pytest.fixture(scope="module")
 def shared(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Shared]:
--- a/tests/crossing_parties.py
+++ b/tests/crossing_parties.py
@@ -346,6 +346,12 @@
         self.listener.listen(0)
         self.fill.append(socket.create_connection(self.listener.getsockname(), BOUND_S))
 
+    def freeze(self) -> None:
+        """Fall silent as a machine that is cut off: what is open stays open and is never read, nothing new comes up."""
+        for call in self.connections:
+            self.stage.unwatch(call.sock)
+        self.shut()
+
     def open(self) -> None:
         self.listener.listen(64)
         self.stage.watch(self.listener, self.accept)
