Log why attempts are called off, slow releases and unknown places; count violations

Change: Abort carries the server and a typed reason, and the node logs it with whether the last byte was written; a release that did not get through at once is a line; so is a place of which nothing is known. RuleWatch counts violations by rule; the counts of final answers, interlocks and violations are a line every 30 s and at the end.

One check changed: a test looked for 'failed' anywhere in the log, where the counts now say 'failed=0'; it looks for any other 'failed' and for 'violations=0' as well.

--- a/tests/crossing_planted.py
+++ b/tests/crossing_planted.py
@@ -25,6 +25,7 @@
 from yardspindle.node.discovery import Discovery
 from yardspindle.node.executor import Executor
 from yardspindle.node.hosts import Hosts, Stream
+from yardspindle.node.release_tasks import ReleaseTasks
 
 SEEDS_MOST = 300
 
@@ -54,7 +55,7 @@
     "what is missing on a list that may lag is passed over": one(
         HostList, "_drain", "else host.up_since_ms <= newest)", "else False)", "after its drain was told", 3_888),
     "nothing is let go of": one(
-        Executor, "_free", "heard = self._hosts.release(server, self.ids[room.request], ready)", "heard = True",
+        ReleaseTasks, "_release", "heard = self._hosts.release(server, self._ids[room.request], ready)", "heard = True",
         "was held", 7),
     "a word that may have come too early is not said again": one(
         Ends, "_release_all", "c.ReleaseAll(r.ask.request, r.unsure)", "c.ReleaseAll(r.ask.request, False)",
--- a/tests/planted_crossings.py
+++ b/tests/planted_crossings.py
@@ -60,7 +60,7 @@
         "core/request/ends.py", "self._commands.append(c.ReleaseAll(r.ask.request, r.unsure))", "pass",
         lambda stage: clients.leaving_between(stage, "close"), "with no attempt out"),
     "a_release_is_taken_as_heard": Plant(
-        "node/executor.py", "heard = self._hosts.release(server, self.ids[room.request], ready)",
+        "node/release_tasks.py", "heard = self._hosts.release(server, self._ids[room.request], ready)",
         "heard = True",
         lambda stage: clients.leaving_between(stage, "fin"), "with no attempt out"),
     "a_reset_counts_as_never_sent": Plant(
--- a/tests/test_edge_core.py
+++ b/tests/test_edge_core.py
@@ -77,7 +77,7 @@
     read_done(core)
     core.act(10, 7, i.Send(1, WRITER))
     out = core.client_left(20, 1)
-    assert of(c.Abort, out) == [c.Abort(1, 1)]
+    assert of(c.Abort, out) == [c.Abort(1, 1, fleet()[WRITER - 1], c.AbortReason.REQUEST_OVER)]
     assert [r.owed.server.number for r in of(c.Release, out)] == [READER]
     assert [type(t.event) for t in of(c.TellPlanner, out)] == [i.Hangup, i.Outcome]
     assert not of(c.Answer, out) and not core.life.open
@@ -155,7 +155,7 @@
     answers = {a.request: (a.final, a.code) for a in of(c.Answer, out)}
     assert answers == {1: (c.Final.REFUSED, "planner_lost"), 2: (c.Final.REFUSED, "planner_lost"),
                        5: (c.Final.FAILED, "may_have_run")}
-    assert of(c.Abort, out) == [c.Abort(2, 0)]
+    assert of(c.Abort, out) == [c.Abort(2, 0, fleet()[READER - 1], c.AbortReason.PLANNER_LOST)]
     core.planner_up(11, 8)
     assert not core.act(12, 8, i.Fail(4)), "a later planner knows nothing of what an earlier one decided"
     assert of(c.Answer, core.attempt_ended(20, 4, 1, i.Status.SERVED))[0].final is c.Final.SERVED
--- a/tests/test_node_bounds.py
+++ b/tests/test_node_bounds.py
@@ -137,15 +137,15 @@
                 host.script = breaks if at < 3 else None
             tasks.append(platform.clients.spawn("asks", platform.ask, b"id%d" % at, b"ask", 500))
             platform.sleep(50_000)
-            most = max(most, sum(map(len, node.executor._freeing.values())))
+            most = max(most, sum(map(len, node.executor.releases.running.values())))
         for task in tasks:
             task.join()
         assert most <= 3 * 6
         platform.sleep(1_500_000)
         # What is owed is said on and on, for ten seconds, and to a few hosts at a time.
-        assert sum(map(len, node.executor._freeing.values())) <= 3 * len(node.core.rooms.owed) <= 18
+        assert sum(map(len, node.executor.releases.running.values())) <= 3 * len(node.core.rooms.owed) <= 18
         platform.sleep(12_000_000)
-        assert not node.core.busy and not node.executor.ids and not node.executor._freeing
+        assert not node.core.busy and not node.executor.ids and not node.executor.releases.running
 
     play(main)
 
--- a/tests/test_node_handover.py
+++ b/tests/test_node_handover.py
@@ -33,7 +33,7 @@
     """Nothing is left, and no rule was broken."""
     platform.sleep(RELEASE_US + 3_000_000)
     assert not platform.states and not node.core.busy and not node.executor.ids
-    assert not node.executor.running and not node.executor._freeing
+    assert not node.executor.running and not node.executor.releases.running
     assert node.core.watch.last is None
 
 
--- a/tests/test_node_held.py
+++ b/tests/test_node_held.py
@@ -173,7 +173,7 @@
         assert not platform.states
         platform.sleep(1_000_000)
         assert not node.core.rooms.owed and not node.core.rooms._out and not node.core.rooms._late
-        assert not node.executor._freeing and not node.executor.ids
+        assert not node.executor.releases.running and not node.executor.ids
 
     play(main)
 
--- a/tests/test_node_left.py
+++ b/tests/test_node_left.py
@@ -72,7 +72,8 @@
     assert [what for what in platform.kinds(number) if what != "free"] == [what for what in seen if what != "free"]
     assert number not in platform.states
     platform.sleep(3_000_000)
-    assert not node.core.busy and not node.executor.ids and not node.executor._freeing and not node.executor.running
+    assert not node.core.busy and not node.executor.ids
+    assert not node.executor.releases.running and not node.executor.running
     assert node.core.watch.last is None
 
 
@@ -162,7 +163,7 @@
         client = begins(platform)
         known = the_one(platform, node, lambda r: r.attempts == 2)
         platform.sleep(10_000)
-        assert node.executor._freeing and connecting(i.Role.READ)(known)
+        assert node.executor.releases.running and connecting(i.Role.READ)(known)
         leave(client)
         is_over(platform, node, ["read"] + ["place"] * platform.kinds(ID).count("place"))
 
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -134,7 +134,7 @@
     code, log = world.run("main", main)
     assert code == 0 and "ready name=n" in log and "draining" in log
     assert log.count("the new configuration is not taken") == 1 and log.count("new configuration discovery=") == 1
-    assert "Traceback" not in log and "failed" not in log
+    assert "Traceback" not in log and "failed" not in log.replace("failed=0", "") and "violations=0" in log
 
 
 BAD_FILES = {"none": "No such file or directory", "folder": "Is a directory", "endless": "over 16777216 bytes",
--- a/yardspindle/core/request/commands.py
+++ b/yardspindle/core/request/commands.py
@@ -80,12 +80,25 @@
     again: bool
 
 
+class AbortReason(Enum):
+    """Why an attempt is called off before its end."""
+
+    REQUEST_OVER = "its request is over"
+    POLICY = "the policy called it off"
+    PLANNER_LOST = "no planner decides"
+    SHUTDOWN = "this program ends"
+    NOT_CONNECTED = "not connected in time while something is held"
+    UNANSWERED = "no word of it in time while something is held"
+
+
 @dataclass(frozen=True, slots=True)
 class Abort:
     """Stop an attempt: close its connection; nothing more is heard of it."""
 
     request: int
     attempt: int
+    server: Server
+    reason: AbortReason
 
 
 @dataclass(frozen=True, slots=True)
--- a/yardspindle/core/request/edge_core.py
+++ b/yardspindle/core/request/edge_core.py
@@ -38,6 +38,11 @@
         """Whether time has to be looked at."""
         return bool(self.life.open) or bool(self.releases.owed) or bool(self.rooms.owed)
 
+    def counts(self) -> dict[str, int]:
+        """What was taken, how it ended, what was stopped by itself, and the rules found broken, since the start."""
+        broken = {f"broken_{rule.replace(' ', '_')}": count for rule, count in sorted(self.watch.violations.items())}
+        return self.life.tally.fields() | {"violations": sum(broken.values())} | broken
+
     def planner_up(self, now_us: int, epoch: int) -> list[c.Command]:
         """A planner decides from now on."""
         return self._out(now_us, self.life.planner_up(now_us, epoch))
--- a/yardspindle/core/request/ends.py
+++ b/yardspindle/core/request/ends.py
@@ -54,18 +54,18 @@
         """After its end: stop what runs, let go of what is held, forget it."""
         if r.final is not None:
             if r.out is not None:
-                self._abort(now_us, r)
+                self._abort(now_us, r, c.AbortReason.REQUEST_OVER)
             self._release(r)
             self._forget_if_done(r)
 
-    def _abort(self, now_us: int, r: Open) -> None:
+    def _abort(self, now_us: int, r: Open, reason: c.AbortReason) -> None:
         out = r.out
         assert out is not None
         r.out = None
         if self._was_out(out):
             r.idle_since_us = now_us
             r.ran = r.ran or may_have_run(out.server.role, i.Status.CANCELLED)
-        self._commands.append(c.Abort(r.ask.request, out.number))
+        self._commands.append(c.Abort(r.ask.request, out.number, out.server, reason))
         if not r.streaming:
             self._untaken(r, out)
         if out.server.role is i.Role.READ and self.rules.release_whole:
--- a/yardspindle/core/request/lifecycle.py
+++ b/yardspindle/core/request/lifecycle.py
@@ -51,7 +51,7 @@
             if r.epoch and r.final is None:
                 r.epoch = 0
                 if r.out is not None and r.out.server.role is i.Role.READ:
-                    self._abort(now_us, r)
+                    self._abort(now_us, r, c.AbortReason.PLANNER_LOST)
                 if r.out is None:
                     self._give_up(r, "planner_lost")
             r.epoch = 0
@@ -73,7 +73,7 @@
                 continue
             if r.out is not None:
                 r.ran = r.ran or self.rules.release_whole and r.out.written  # a read, too: see docs/questions.md
-                self._abort(now_us, r)
+                self._abort(now_us, r, c.AbortReason.SHUTDOWN)
             self._give_up(r, "draining", 0)  # others are there: no time to wait for
         return self._take()
 
@@ -225,7 +225,7 @@
 
     def _cancel(self, now_us: int, r: Open, number: int) -> None:
         if r.out is not None and r.out.number == number and not r.streaming:
-            self._abort(now_us, r)
+            self._abort(now_us, r, c.AbortReason.POLICY)
             self._forget_if_done(r)
 
     # --- what engines answer
@@ -357,7 +357,7 @@
     def _unreached(self, now_us: int, r: Open, out: Attempt) -> None:
         """A write's connection does not come up, and what is held may be held no longer: it has not run."""
         self._interlock(r, "held while connecting")
-        self._commands.append(c.Abort(r.ask.request, out.number))
+        self._commands.append(c.Abort(r.ask.request, out.number, out.server, c.AbortReason.NOT_CONNECTED))
         r.out = None
         self._untaken(r, out)
         self._release(r)
--- a/yardspindle/core/request/open.py
+++ b/yardspindle/core/request/open.py
@@ -97,3 +97,8 @@
     failed: int = 0
     left: int = 0
     interlocks: dict[str, int] = field(default_factory=dict)
+
+    def fields(self) -> dict[str, int]:
+        """The counts by name, for a line of a log."""
+        finals = {name: getattr(self, name) for name in ("taken", "served", "refused", "failed", "left")}
+        return finals | {rule.replace(" ", "_"): count for rule, count in sorted(self.interlocks.items())}
--- a/yardspindle/core/request/rules.py
+++ b/yardspindle/core/request/rules.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from yardspindle import interface as i
@@ -67,6 +68,7 @@
         self.open: dict[int, Watched] = {}
         self._ended: dict[int, Watched] = {}
         self.breaks: list[Break] = []
+        self.violations: Counter[str] = Counter()  # by rule, since the start
         self.last: Break | None = None
 
     # --- what comes in
@@ -230,6 +232,7 @@
     def _broken(self, rule: str, request: int, text: str) -> bool:
         self.last = Break(rule, request, text)
         self.breaks.append(self.last)
+        self.violations[rule] += 1
         return False
 
     def _known(self, request: int) -> Watched | None:
--- a/yardspindle/node/app.py
+++ b/yardspindle/node/app.py
@@ -30,6 +30,7 @@
 
 TICK_US = 20_000  # how often the core's own deadlines are looked at; as often as the policy's
 HOUSEKEEPING_US = 1_000_000
+COUNTS_US = 30_000_000  # between lines of the log that tell the counts so far
 UP = b"/up"
 CLIENT_LIMITS = http1.Limits(line=8_192, head=16_384, headers=64, body=262_144)
 
@@ -112,6 +113,7 @@
         self._server.drain(times.gone_us)
         while (self.core.rooms.owed or self.executor.asking) and self.world.now_us() < times.let_go_us:
             self.world.sleep_until(self.world.now_us() + TICK_US)
+        log.line("counts", **self.core.counts())
 
     def _leave(self) -> None:
         """The process is about to be killed: every request gets its answer now."""
@@ -119,7 +121,7 @@
         self.executor.perform(self.core.leave(self.world.now_us()))
 
     def _tick(self) -> None:
-        kept_us = self.world.now_us()
+        kept_us = counted_us = self.world.now_us()
         while True:
             now = self.world.now_us()
             self.world.sleep_until(now + TICK_US)
@@ -130,6 +132,9 @@
                 self.http.close_old()
                 for number in list(self.executor.ids):
                     self.executor.forget(number)
+            if now - counted_us > COUNTS_US:
+                counted_us = now
+                log.line("counts", **self.core.counts())
 
     def _news(self) -> None:
         now = self.world.now_us()
--- a/yardspindle/node/executor.py
+++ b/yardspindle/node/executor.py
@@ -16,13 +16,13 @@
 from yardspindle.core.request.edge_core import EdgeCore
 from yardspindle.core.request.planning import PlanningSession, Reply
 from yardspindle.core.request.proof import PROVES_WRITTEN
-from yardspindle.core.request.rooms import Room
 from yardspindle.engine.http_client import ExchangeBroken
 from yardspindle.node import log
 from yardspindle.node.hosts import EVENT, EVENT_ENDS, CalledOff, Ended, Hosts, Stream, cached
+from yardspindle.node.release_tasks import ReleaseTasks
 from yardspindle.node.running import Running
 from yardspindle.protocol import http1
-from yardspindle.runtime.scheduler import DeadlineExceeded, Task
+from yardspindle.runtime.scheduler import DeadlineExceeded
 from yardspindle.runtime.world import StreamError, World
 
 EPOCH = 1  # the one start of the one policy in this process
@@ -40,7 +40,7 @@
         self._hosts = hosts
         self.running: dict[int, Running] = {}
         self.ids: dict[int, bytes] = {}  # of requests that run or are still being let go of
-        self._freeing: dict[int, dict[Task, bool]] = {}  # words that are said, and whether each may be written by now
+        self.releases = ReleaseTasks(world, core, hosts, self.ids, self.perform, self.forget)
         self.asking = 0  # places whose answer is out: they may be held
         self._events: deque[i.Event] = deque()
         self._deciding = False
@@ -95,14 +95,7 @@
                 self._deciding = False
             self.perform([])
 
-        self._guarded(decide)
-
-    def _guarded(self, step: Callable[[], None]) -> None:
-        """A step called by the loop itself, which an error must not end."""
-        try:
-            step()
-        except Exception as fault:
-            log.line("a timer failed", fault=f"{type(fault).__name__}: {fault}")
+        log.guarded(decide)
 
     def _carry_out(self, command: c.Command) -> None:
         match command:
@@ -117,6 +110,8 @@
                 known = self.running.get(request)
                 if known is not None and attempt in known.attempts:
                     known.attempts.pop(attempt).cancel()
+                    log.line("attempt called off", id=self._name(request), at=command.server.name,
+                             stage=_stage(command.server), written=attempt in known.written, why=command.reason.value)
             case c.LastWords(request):
                 known = self.running.get(request)
                 if known is not None:
@@ -125,8 +120,7 @@
                 run = self.running[command.request]
                 self._world.spawn("place", self._ask_place, command, run)
             case c.Free(room, server):
-                task = self._world.spawn("free", self._free, room, server)
-                self._freeing.setdefault(room.request, {})[task] = False
+                self.releases.start(room, server)
             case c.Answer(request):
                 known = self.running.get(request)
                 if known is not None:
@@ -163,7 +157,7 @@
         if ended.status is i.Status.READ:
             run.trace.read(self._world.now_us(), ended.note)
         if ended.status not in (i.Status.READ, i.Status.SERVED):
-            log.line("attempt failed", id=run.id.decode(), at=command.server.name, stage=_stage(command),
+            log.line("attempt failed", id=run.id.decode(), at=command.server.name, stage=_stage(command.server),
                      status=ended.status.value, detail=ended.detail)
         self.perform(self._core.attempt_ended(
             self._world.now_us(), command.request, command.attempt, ended.status, ended.note, stale=ended.stale))
@@ -201,7 +195,7 @@
     def _ready(self, command: c.Read | c.Write, run: Running) -> http1.Headers:
         """The connection is there: what is owed for the request is said no more, or it would take what this leaves."""
         self._left_ms(command)
-        self._wait_for_release(command.request)
+        self.releases.wait(command.request)
         self._look_for_close(run)
         return [(b"req-deadline-ms", b"%d" % self._left_ms(command))]
 
@@ -220,6 +214,7 @@
 
     def _written(self, command: c.Read | c.Write, run: Running) -> None:
         self._core.written(command.request, command.attempt)
+        run.written.add(command.attempt)
         run.trace.written(self._world.now_us(), command.server, isinstance(command, c.Read))
         signal = run.sent.get(command.attempt)
         if signal is not None:
@@ -301,7 +296,7 @@
     def _ask_place(self, command: c.AskPlace, run: Running) -> None:
         signal = run.sent.get(command.read_attempt)
         held: bool | None = False  # never asked
-        asked = False
+        asked, began = False, self._world.now_us()
 
         def ready() -> http1.Headers:
             nonlocal asked
@@ -327,63 +322,14 @@
             pass
         except DeadlineExceeded:
             held = None if asked else False
+        if asked and held is None:
+            log.line("place unknown", id=run.id.decode(), at=command.server.name,
+                     ms=(self._world.now_us() - began) // 1_000)
         self.ids.setdefault(command.request, run.id)  # its release may be all that is left of it
         self.perform(self._core.place_answered(
             self._world.now_us(), command.request, command.place, command.server, held))
         self.forget(command.request)
 
-    def _free(self, room: Room, server: Server) -> None:
-        heard: bool | None = False
-        late = False
-        task, tasks = self._world.current(), self._freeing[room.request]
-
-        def ready() -> http1.Headers:
-            if not self._core.freeing(room):
-                raise CalledOff  # a newer attempt was sent meanwhile, whose own end lets go of everything
-            tasks[task] = True
-            return []
-
-        def overdue() -> None:
-            nonlocal late
-            late, commands = self._core.room_overdue(self._world.now_us(), room, server.number, tasks[task])
-            if not late:
-                task.cancel()
-            self.perform(commands)
-
-        stop_watch = self._world.call_at(self._world.now_us() + timeouts.FREE_US, lambda: self._guarded(overdue))
-        try:
-            if self._core.freeing(room):
-                with self._world.deadline(self._world.now_us() + timeouts.FREE_LATE_US):
-                    heard = self._hosts.release(server, self.ids[room.request], ready)
-        except (CalledOff, DeadlineExceeded):
-            pass
-        finally:
-            stop_watch()
-            del tasks[task]
-            if not tasks:
-                del self._freeing[room.request]
-            self.perform(self._core.room_settled(self._world.now_us(), room, server.number, heard, late))
-            self.forget(room.request)
-
-    def _wait_for_release(self, request: int) -> None:
-        """Releases that are under way must not take what a newer attempt needs: wait for them, then cut them off.
-
-        Those that are not written yet will not be: they are asked before (`EdgeCore.freeing`).
-        """
-        tasks = [task for task, written in self._freeing.get(request, {}).items() if written]
-        if not tasks:
-            return
-        limit = self._world.deadline(self._world.now_us() + timeouts.FREE_FIRST_US)
-        try:
-            with limit:
-                for task in tasks:
-                    task.join()
-        except DeadlineExceeded:
-            for task in tasks:
-                task.cancel()
-            if not limit.passed:  # it is the attempt's own time that is up
-                raise
-
     def forget(self, request: int) -> None:
         """Drop the id of a request that neither runs nor is being let go of."""
         if request not in self.running and request not in self._core.rooms.owed:
@@ -394,5 +340,5 @@
     pass
 
 
-def _stage(command: c.Read | c.Write) -> str:
-    return "prefill" if isinstance(command, c.Read) else "decode"
+def _stage(server: Server) -> str:
+    return "prefill" if server.role is i.Role.READ else "decode"
--- a/yardspindle/node/log.py
+++ b/yardspindle/node/log.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import sys
+from collections.abc import Callable
 
 LINE_MOST = 400
 
@@ -13,3 +14,11 @@
     text = " ".join([what, *(f"{name}={value}" for name, value in fields.items())])
     with contextlib.suppress(OSError, ValueError):  # a log that cannot be written must not end what it tells of
         sys.stderr.write(" ".join(text.split())[:LINE_MOST] + "\n")
+
+
+def guarded(step: Callable[[], None]) -> None:
+    """Run a step that the loop itself calls: an error is told, and must not end the loop."""
+    try:
+        step()
+    except Exception as fault:
+        line("a timer failed", fault=f"{type(fault).__name__}: {fault}")
--- a/yardspindle/node/running.py
+++ b/yardspindle/node/running.py
@@ -24,5 +24,6 @@
     attempts: dict[int, Task] = field(default_factory=dict)
     stream: Stream | None = None  # that goes to its client
     sent: dict[int, Signal] = field(default_factory=dict)  # reads: set once the last byte is written
+    written: set[int] = field(default_factory=set)  # attempts whose last byte is written
     heard_us: int = 0  # since when the running stream brings nothing; 0: its client is waited for, not its host
     trace: Trace = field(default_factory=lambda: Trace(0))
