Stop the clock of what is held only on a server's word, not on bytes written here

Reads answered; each write's bytes at its writer's machine 1 to 229 ms later and never taken; nothing answered, nothing let go of, seconds later. Of the writes at 115, 116 and 229 ms the log of n2 tells the rest: one or two connections of 112 ms each did not come up before, so the bytes went over a kept connection.

Ruled out: connections that do not come up (their clock runs, lifecycle.py `_unreached`, and the ledger's times fit it); a release that was lost (none was sent: it would be at a host's record); the policy (it was told nothing: no outcome).

At fault: `Ends._was_out` and `Lifecycle.tick`: an attempt's last byte written here stopped the clock of what is held. A machine that is cut off, a process that is stopped and a connection that fell silent all take bytes. Class of bug: one kind of evidence (written here) used where another (taken by a running server) is needed. Two more of it, found with it: a place asked with a read that lies unread (the writer's 204, or silence, stopped nothing), and a release that was owed was forgotten when the next read's bytes were written.

At 0.75 of the release time the attempt is called off and all is let go of; an unsafe request whose write was written fails at once, a safe one is read anew, and the policy leaves that writer out for a while as after a broken connection. No attempt is written while a release of its request is unheard; a host that is late to hear one is waited for beside the others. RuleWatch checks the same by its own record.

--- a/tests/test_choices_failures.py
+++ b/tests/test_choices_failures.py
@@ -228,3 +228,25 @@
         router.feed(i.Outcome(98, 0, 3, i.Status.CONNECT_FAILED, MS, False, stale=True))
     router.sweep(1_500)
     assert sends(router.ask()) == [reader if breaks else 3 - reader]
+
+
+@pytest.mark.parametrize("cls", ["safe", "once"])
+def test_a_writer_without_a_word_while_a_state_was_held_is_left_for_a_while(cls: str) -> None:
+    """Writes went on to writers that had fallen silent: each state was held there until its client's time was up."""
+    router = Router("rww")
+    router.ask(cls=cls)
+    (writer,) = sends(router.end(1, 0, 1, i.Status.READ))
+    acts = router.end(1, 1, writer, i.Status.TIMEOUT, note=1)
+    if cls == "safe":
+        assert sends(acts) == [1] and writer not in places(acts)  # read anew, to be written elsewhere
+    else:
+        assert sends(acts) == [] and any(isinstance(act, i.Fail) for act in acts)  # it may have run
+    assert writer not in places(router.ask())
+
+
+def test_a_read_called_off_with_a_silent_place_is_tried_without_either() -> None:
+    router = Router("rrww")
+    acts = router.ask()
+    (reader,), (writer,) = sends(acts), places(acts)
+    again = router.end(1, 0, reader, i.Status.CANCELLED)
+    assert sends(again) == [3 - reader] and places(again) == [7 - writer]
--- a/yardspindle/core/request/edge_core.py
+++ b/yardspindle/core/request/edge_core.py
@@ -82,7 +82,7 @@
     def place_answered(self, now_us: int, request: int, number: int, server: Server,
                        held: bool | None) -> list[c.Command]:
         """A writer said yes or no to a place, or (None) was not heard."""
-        self.watch.place(request, number, server.name, bool(held))
+        self.watch.place(now_us, request, number, server.name, held)
         return self._out(now_us, self.life.place_answered(now_us, request, number, server, held))
 
     def first_token(self, now_us: int, request: int, number: int) -> tuple[bool, list[c.Command]]:
@@ -103,35 +103,49 @@
     def sending(self, now_us: int, request: int, number: int) -> int:
         """An attempt's first byte is about to be written: the milliseconds that it may tell, 0 if it must not go out.
 
-        If it may, what is still owed is left to its end.
+        None goes out while a release of its request is owed (`owes`): the release would take what the attempt needs,
+        and left out it would stay unsaid for as long as the attempt lies unread somewhere.
         """
         left_ms, server = self.life.left_ms(now_us, request, number), self.life.listed(request)
-        if not left_ms or not self.watch.sending(now_us, request, number, server):
+        if not left_ms or not self.watch.sending(now_us, request, number, server, self.owes(request)):
             return 0
-        self._left_to_its_end(request)
         return left_ms
 
+    def owes(self, request: int) -> bool:
+        """Whether some engine is still to let go of what an earlier attempt of a request left."""
+        return request in self.rooms.owed
+
     def asking(self, request: int, number: int, read_attempt: int) -> bool:
-        """Whether a place whose asking is about to be written is still to be asked."""
+        """Whether a place is still to be asked for: its read is out, and its writer takes new work."""
         return self.life.may_ask(request, number, read_attempt)
 
+    def place_asked(self, now_us: int, request: int, number: int, server: Server) -> bool:
+        """The call for a place is about to be written; whether it may be. From now on the place may be held."""
+        if not self.watch.place_asked(now_us, request, number, self.life.directory.servers.get(server.number)):
+            return False
+        self.life.place_asked(now_us, request)
+        return True
+
     def freeing(self, room: Room) -> bool:
-        """Whether a release whose first byte is about to be written is still owed: a newer attempt takes it over."""
+        """Whether a release whose first byte is about to be written is still owed."""
         return self.rooms.owed.get(room.request) is room
 
-    def _left_to_its_end(self, request: int) -> None:
-        if (room := self.rooms.in_use(request)) is not None:
-            self.life.still_held(request, room.again)
-
     def written(self, request: int, number: int) -> None:
         """An attempt's last byte is written: from now on it is out."""
         self.life.written(request, number)
         self.watch.written(request, number)
 
+    def heard(self, request: int, number: int) -> None:
+        """The first bytes of an attempt's answer came: a running server has it."""
+        self.life.heard(request, number)
+        self.watch.heard(request, number)
+
     def tick(self, now_us: int) -> list[c.Command]:
         """Look at the clock."""
         commands = self._out(now_us, self.life.tick(now_us))
         self.watch.check_time(now_us)
+        for room in self.rooms.take_overdue(now_us, self.life.rules.release_us):
+            self.watch.release_overdue(now_us, room.request, room.since_us)
         return [*commands, *self._broken()]
 
     def release_settled(self, now_us: int, owed: Owed, heard: bool) -> list[c.Command]:
@@ -150,9 +164,9 @@
             self.rooms.settled(now_us, room, server, heard)
         return self._due(now_us)
 
-    def room_overdue(self, now_us: int, room: Room, server: int, written: bool) -> tuple[bool, list[c.Command]]:
-        """An engine has not been heard in time. Whether its connection is waited for on, and who is asked meanwhile."""
-        if written or not self.rooms.overdue(now_us, room, server):
+    def room_overdue(self, now_us: int, room: Room, server: int) -> tuple[bool, list[c.Command]]:
+        """An engine has not been heard in time. Whether it is waited for on, and who is asked meanwhile."""
+        if not self.rooms.overdue(now_us, room, server):
             return False, []
         return True, self._due(now_us)
 
@@ -171,9 +185,6 @@
                     self.releases.owe(now_us, server, Thing.PLACE, request, place)
                 case c.ReleaseAll(request, again):
                     self.rooms.owe(now_us, request, again)
-                case c.Write():  # a read's connection may be long in coming up: the word is said meanwhile
-                    self._left_to_its_end(command.request)
-                    out.append(command)
                 case _:
                     out.append(command)
         return [*out, *self._due(now_us), *self._broken()]
--- a/yardspindle/core/request/ends.py
+++ b/yardspindle/core/request/ends.py
@@ -62,29 +62,33 @@
         out = r.out
         assert out is not None
         r.out = None
-        if self._was_out(out):
-            r.idle_since_us = now_us
+        if out.taken:
+            r.held_since_us = now_us
+        if out.written:
             r.ran = r.ran or may_have_run(out.server.role, i.Status.CANCELLED)
         self._commands.append(c.Abort(r.ask.request, out.number, out.server, reason))
         if not r.streaming:
-            self._untaken(r, out)
+            self._untaken(now_us, r, out)
         if out.server.role is i.Role.READ and self.rules.release_whole:
-            if self._was_out(out):
-                r.held = r.unsure = True  # it may end well just as it is called off
+            if out.written:
+                r.unsure = True  # it may end well just as it is called off
+                self._hold(now_us, r)
             self._release(r)
         elif out.server.role is i.Role.READ:
             self._commands.append(c.ReleaseState(r.ask.request, out.number, out.server))
         self._tell(r, i.Outcome(r.ask.request, out.number, out.server.number, i.Status.CANCELLED,
                                 now_us - out.sent_us, r.final is not None))
 
-    def _was_out(self, out: Attempt) -> bool:
-        """Whether its last byte was written; where that is not told, an attempt is out when it is sent."""
-        return out.written or not self.rules.release_whole
+    def _hold(self, now_us: int, r: Open) -> None:
+        """Something may be held for it from now on, unless it is already."""
+        if not r.held:
+            r.held, r.held_since_us = True, now_us
 
-    def _untaken(self, r: Open, out: Attempt) -> None:
+    def _untaken(self, now_us: int, r: Open, out: Attempt) -> None:
         """A write ended without the writer's word that it had come: its place may still be held there."""
         if self.rules.release_whole:
-            r.held = r.held or out.place is not None
+            if out.place is not None:
+                self._hold(now_us, r)
         elif out.place is not None:
             self._commands.append(c.ReleasePlace(r.ask.request, out.place, out.server))
 
@@ -102,8 +106,8 @@
         r.held = False
 
     def _release_all(self, r: Open) -> None:
-        """One word lets go of everything; none while a write is out, since it would take the state from under it."""
-        if r.held and (r.out is None or r.out.server.role is i.Role.READ):
+        """One word lets go of everything; none under an attempt that may run, whose state or place it would take."""
+        if r.held and (r.out is None or r.out.server.role is i.Role.READ and not r.out.written):
             self._commands.append(c.ReleaseAll(r.ask.request, r.unsure))
             r.state, r.state_at, r.place, r.held, r.unsure = None, None, None, False, False
 
--- /dev/null
+++ b/yardspindle/core/request/holds.py
@@ -0,0 +1,138 @@
+"""What engines hold for a request while it has no answer: places asked, and the time in which all of it is let go of.
+
+What is held is used by an attempt or let go of in the time of the rule. That time stops only while a running server is
+known to have an attempt (`evidence.py`): not while a connection is made, and not because the attempt's bytes were
+written, which a server that has fallen silent never reads. An attempt of which there is no word by `PINNED_PART` of
+the time is called off and what is held let go of; the rest of the time is for the release to be heard.
+"""
+
+from __future__ import annotations
+
+from yardspindle import interface as i
+from yardspindle.core.hosts.directory import Server
+from yardspindle.core.request import commands as c
+from yardspindle.core.request.ends import Ends
+from yardspindle.core.request.evidence import Evidence
+from yardspindle.core.request.open import Attempt, Open, Place
+from yardspindle.core.request.proof import may_have_run
+
+PINNED_PART = 0.75  # of the release time: after it the edge lets go itself; the policy acts at half
+CONNECTS_HELD = 2  # writers that can be tried one after another in that time while a state is held
+NOTHING_HELD = 1  # the note of an attempt after which no state is held any more
+
+
+class Holds(Ends):
+    """Places and states of the requests of one edge."""
+
+    @property
+    def held_connect_us(self) -> int | None:
+        """In what time a write's connection has to come up, as what is held meanwhile counts as held."""
+        return round(PINNED_PART * self.rules.release_us / CONNECTS_HELD) if self.rules.release_whole else None
+
+    # --- places
+
+    def _ahead(self, ahead: i.Ahead) -> None:
+        r = self.open.get(ahead.request)
+        if r is None or r.epoch != self.epoch or r.final is not None or r.streaming:
+            return
+        self._release_place(r)
+        server = self.directory.servers.get(ahead.server)
+        if r.out is None or r.out.server.role is not i.Role.READ or server is None:
+            return
+        if server.closed_us is not None or not server.places:
+            return  # asked nowhere: as at a writer that cannot be heard, no note comes
+        r.places += 1
+        r.place = Place(r.places, server)
+        self._commands.append(c.AskPlace(
+            ahead.request, r.places, server, r.ask.prompt_tokens, r.out.server, r.out.number))
+
+    def may_ask(self, request: int, number: int, read_attempt: int) -> bool:
+        """Whether a place whose asking is about to be written is still wanted there: the read for it is out."""
+        r = self.open.get(request)
+        if r is None or r.final is not None or r.place is None or r.place.number != number:
+            return False
+        if r.out is None or r.out.number != read_attempt or not r.out.written:
+            return False
+        server = self.directory.servers.get(r.place.server.number)
+        return server is not None and server.closed_us is None and self._as_connected(server, r.place.server)
+
+    def place_asked(self, now_us: int, request: int) -> None:
+        """The call for a place is being written: from now on it may be held, whatever is answered."""
+        r = self.open.get(request)
+        if r is not None:
+            self._hold(now_us, r)
+
+    def place_answered(self, now_us: int, request: int, number: int, server: Server,
+                       held: bool | None) -> list[c.Command]:
+        """A writer said yes or no to a place, or (None) was not heard; a place nobody wants is let go."""
+        r = self.open.get(request)
+        place = r.place if r is not None else None
+        if r is None or place is None or place.number != number:
+            self._place_too_late(now_us, r, request, number, server, held)
+            return self._take()
+        if held is None and self.rules.release_whole:
+            return self._take()  # it may be held: a write there will take it, and the end lets go of it
+        if held is None:
+            self._release_place(r)
+            self._commands.append(c.ReleasePlace(request, number, server))
+            return self._take()
+        place.held = held
+        if not held:
+            r.place = None
+        if r.out is not None and r.out.server.role is i.Role.READ:
+            self._read_is_known(r.out)
+            self._tell(r, i.Note(request, r.out.number, r.out.server.number, held))
+        return self._take()
+
+    def _place_too_late(self, now_us: int, r: Open | None, request: int, number: int, server: Server,
+                        held: bool | None) -> None:
+        if held is False:
+            return
+        if not self.rules.release_whole:
+            self._commands.append(c.ReleasePlace(request, number, server))
+        elif r is None:
+            self._commands.append(c.ReleaseAll(request, False))
+        else:  # the word that let go may have come before the asking
+            self._hold(now_us, r)
+            if r.state_at is None:
+                self._release(r)
+
+    def _read_is_known(self, read: Attempt) -> None:
+        """A writer's yes or no to a place: it gives either only if a read of the request runs somewhere."""
+        if read.written:
+            read.evidence = Evidence.TAKEN
+
+    def _as_connected(self, listed: Server | None, connected: Server) -> bool:
+        return listed is not None and (listed.host, listed.port) == (connected.host, connected.port)
+
+    # --- time
+
+    def _look_at_what_is_held(self, now_us: int, r: Open) -> None:
+        """Let go of what is held for too long, and call off the attempt that no running server is known to have."""
+        held = r.held or r.state_at is not None or r.place is not None
+        if not held or now_us - r.held_since_us <= PINNED_PART * self.rules.release_us:
+            return
+        if r.out is None:
+            self._interlock(r, "held too long")
+            self._release(r)
+        elif not r.out.taken and not r.streaming and (r.held or r.state_at is not None):
+            self._call_off(now_us, r, r.out)
+
+    def _call_off(self, now_us: int, r: Open, out: Attempt) -> None:
+        """An attempt that may never have come to a running server must not keep what is held any longer."""
+        self._interlock(r, "held while unanswered" if out.written else "held while connecting")
+        reason = c.AbortReason.UNANSWERED if out.written else c.AbortReason.NOT_CONNECTED
+        self._commands.append(c.Abort(r.ask.request, out.number, out.server, reason))
+        r.out = None
+        status = i.Status.TIMEOUT if out.written else i.Status.CONNECT_FAILED
+        if out.server.role is i.Role.READ:
+            r.unsure = r.unsure or out.written  # it may end well just as it is called off
+            status = i.Status.CANCELLED  # the server that is silent may be the place's: no blame for either
+        else:
+            r.ran = r.ran or may_have_run(out.server.role, status)
+        self._untaken(now_us, r, out)
+        self._release(r)
+        self._tell(r, i.Outcome(r.ask.request, out.number, out.server.number, status, now_us - out.sent_us, False,
+                                NOTHING_HELD))
+        if not r.epoch:
+            self._give_up(r, "planner_lost")
--- a/yardspindle/core/request/lifecycle.py
+++ b/yardspindle/core/request/lifecycle.py
@@ -7,7 +7,8 @@
 - an unsafe request that may have run is never sent, and never refused, again;
 - no two attempts of a request are out at once;
 - nothing new goes to a server known to drain, or be gone, for longer than the grace;
-- a state or place with no attempt out is let go in time, and at once when the request ends.
+- a state or place is let go in time unless a running server is known to have an attempt, and at once when the
+  request ends (`holds.py`).
 
 It never chooses a server. Events and results come in with the time; commands go out in order.
 """
@@ -20,15 +21,13 @@
 from yardspindle import interface as i
 from yardspindle.core.hosts.directory import Directory, Server
 from yardspindle.core.request import commands as c
-from yardspindle.core.request.ends import Ends
-from yardspindle.core.request.open import Attempt, Open, Place
-from yardspindle.core.request.proof import PROVES_NOT_RUN, PROVES_WRITTEN, harmless_to_repeat, may_have_run
+from yardspindle.core.request.evidence import PROVES_TAKEN, Evidence
+from yardspindle.core.request.holds import Holds
+from yardspindle.core.request.open import Attempt, Open
+from yardspindle.core.request.proof import PROVES_NOT_RUN, harmless_to_repeat, may_have_run
 
-PINNED_PART = 0.75  # of the release time: after it the edge lets go itself; the policy acts at half
-CONNECTS_HELD = 2  # writers that can be tried one after another in that time while a state is held
 
-
-class Lifecycle(Ends):
+class Lifecycle(Holds):
     """All requests of one edge."""
 
     # --- the planner comes and goes
@@ -92,7 +91,7 @@
 
     def arrive(self, now_us: int, ask: i.Request, whole: bool = False) -> list[c.Command]:
         """A client's request: taken, and told to the planner, or refused at once. Raises KeyError: its class."""
-        r = Open(ask, self.rules.effects[ask.cls], self.epoch, whole, idle_since_us=now_us)
+        r = Open(ask, self.rules.effects[ask.cls], self.epoch, whole, held_since_us=now_us)
         assert ask.request not in self.open, "a request's number comes twice"
         self.tally.taken += 1
         full = len(self.open) >= self.rules.most_open
@@ -160,7 +159,8 @@
         until_us = r.ask.expires_us
         if send.timeout_us:
             until_us = min(until_us, now_us + send.timeout_us)
-        r.out = Attempt(number, server, now_us, until_us)
+        evidence = Evidence.DECIDED if self.rules.release_whole else Evidence.TAKEN  # where it is not told
+        r.out = Attempt(number, server, now_us, until_us, evidence)
         if server.role is i.Role.READ:
             if not self.rules.release_whole:  # else what an earlier read left is let go of with what this one leaves
                 self._release_state(r)
@@ -192,22 +192,6 @@
             return "no state", None  # also where ours was let go: the engine would read the whole prompt itself
         return None, server
 
-    def _ahead(self, ahead: i.Ahead) -> None:
-        r = self.open.get(ahead.request)
-        if r is None or r.epoch != self.epoch or r.final is not None or r.streaming:
-            return
-        self._release_place(r)
-        server = self.directory.servers.get(ahead.server)
-        if r.out is None or r.out.server.role is not i.Role.READ or server is None:
-            return
-        if server.closed_us is not None or not server.places:
-            return  # asked nowhere: as at a writer that cannot be heard, no note comes
-        r.places += 1
-        r.place = Place(r.places, server)
-        r.held = True
-        self._commands.append(c.AskPlace(
-            ahead.request, r.places, server, r.ask.prompt_tokens, r.out.server, r.out.number))
-
     def _refuse(self, now_us: int, r: Open, retry_after_us: int) -> None:
         if r.out is not None and may_have_run(r.out.server.role, i.Status.CANCELLED):
             r.ran = True
@@ -230,34 +214,6 @@
 
     # --- what engines answer
 
-    def place_answered(self, now_us: int, request: int, number: int, server: Server,
-                       held: bool | None) -> list[c.Command]:
-        """A writer said yes or no to a place, or (None) was not heard; a place nobody wants is let go."""
-        r = self.open.get(request)
-        place = r.place if r is not None else None
-        if r is None or place is None or place.number != number:
-            if held is not False and not self.rules.release_whole:
-                self._commands.append(c.ReleasePlace(request, number, server))
-            elif held is not False and r is None:
-                self._commands.append(c.ReleaseAll(request, False))
-            elif held is not False and r is not None:  # the word that let go may have come before the asking
-                r.held = True
-                if r.out is None and r.state_at is None:  # else it is let go of with what the attempt leaves
-                    self._release(r)
-            return self._take()
-        if held is None and self.rules.release_whole:
-            return self._take()  # it may be held: a write there will take it, and the end lets go of it
-        if held is None:
-            self._release_place(r)
-            self._commands.append(c.ReleasePlace(request, number, server))
-            return self._take()
-        place.held = held
-        if not held:
-            r.place = None
-        if r.out is not None and r.out.server.role is i.Role.READ:
-            self._tell(r, i.Note(request, r.out.number, r.out.server.number, held))
-        return self._take()
-
     def first_token(self, now_us: int, request: int, number: int) -> bool:
         """The answer begins: from now on the request belongs to this stream. False: its request is over."""
         r = self.open.get(request)
@@ -279,21 +235,22 @@
         if r is None or r.out is None or r.out.number != number:
             return self._take()  # it was called off, and its end has been told
         out, r.out = r.out, None
-        if self._was_out(out) or status in PROVES_WRITTEN:
-            r.idle_since_us = now_us
+        if out.taken or status in PROVES_TAKEN:
+            r.held_since_us = now_us
         r.ran = r.ran or may_have_run(out.server.role, status)
         if status is i.Status.READ:
             r.state, r.state_at, r.state_attempt, r.held = state, out.server, number, True
         elif out.server.role is i.Role.READ and self.rules.release_whole:
-            r.unsure = r.unsure or status not in PROVES_NOT_RUN
-            r.held = r.held or r.unsure
+            if status not in PROVES_NOT_RUN:
+                r.unsure = True
+                self._hold(now_us, r)
             self._release(r)
         elif out.server.role is i.Role.READ:  # it may still be reading, or hold a state that we never heard of
             self._commands.append(c.ReleaseState(request, number, out.server))
         elif note == 1:
             self._release_state(r)
         if status not in (i.Status.SERVED, i.Status.FULL) and not r.streaming:
-            self._untaken(r, out)
+            self._untaken(now_us, r, out)
         if r.streaming or status is i.Status.SERVED:
             served = status is i.Status.SERVED
             self._final(r, c.Final.SERVED if served else c.Final.FAILED, "served" if served else "stream_broken")
@@ -324,55 +281,25 @@
         r = self.open.get(request)
         return self.directory.servers.get(r.out.server.number) if r is not None and r.out is not None else None
 
-    def may_ask(self, request: int, number: int, read_attempt: int) -> bool:
-        """Whether a place whose asking is about to be written is still wanted there: the read for it is out."""
-        r = self.open.get(request)
-        if r is None or r.final is not None or r.place is None or r.place.number != number:
-            return False
-        if r.out is None or r.out.number != read_attempt or not self._was_out(r.out):
-            return False
-        server = self.directory.servers.get(r.place.server.number)
-        return server is not None and server.closed_us is None and self._as_connected(server, r.place.server)
-
-    def _as_connected(self, listed: Server | None, connected: Server) -> bool:
-        return listed is not None and (listed.host, listed.port) == (connected.host, connected.port)
-
-    def still_held(self, request: int, unsure: bool) -> None:
-        """A newer attempt came before the word that was to let go: its own end lets go, also if it never ran."""
-        r = self.open.get(request)
-        if r is not None:
-            r.held, r.unsure = True, r.unsure or unsure
-
     def written(self, request: int, number: int) -> None:
         """An attempt's last byte is written."""
         r = self.open.get(request)
         if r is not None and r.out is not None and r.out.number == number:
-            r.out.written = True
+            r.out.evidence = max(r.out.evidence, Evidence.WRITTEN)
+
+    def heard(self, request: int, number: int) -> None:
+        """The first bytes of an attempt's answer came."""
+        r = self.open.get(request)
+        if r is not None and r.out is not None and r.out.number == number:
+            r.out.evidence = Evidence.TAKEN
 
     def unwritten(self, request: int, number: int) -> bool:
         """Whether an attempt is on its way whose last byte is not written."""
         r = self.open.get(request)
-        return r is not None and r.out is not None and r.out.number == number and not self._was_out(r.out)
-
-    def _unreached(self, now_us: int, r: Open, out: Attempt) -> None:
-        """A write's connection does not come up, and what is held may be held no longer: it has not run."""
-        self._interlock(r, "held while connecting")
-        self._commands.append(c.Abort(r.ask.request, out.number, out.server, c.AbortReason.NOT_CONNECTED))
-        r.out = None
-        self._untaken(r, out)
-        self._release(r)
-        self._tell(r, i.Outcome(r.ask.request, out.number, out.server.number, i.Status.CONNECT_FAILED,
-                                now_us - out.sent_us, False, 1))
-        if not r.epoch:
-            self._give_up(r, "planner_lost")
+        return r is not None and r.out is not None and r.out.number == number and not r.out.written
 
     # --- time
 
-    @property
-    def held_connect_us(self) -> int | None:
-        """In what time a write's connection has to come up, as what is held meanwhile counts as held."""
-        return round(PINNED_PART * self.rules.release_us / CONNECTS_HELD) if self.rules.release_whole else None
-
     def tick(self, now_us: int) -> list[c.Command]:
         """Keep the rules that time breaks; called every few milliseconds' tens while requests are open."""
         for r in list(self.open.values()):
@@ -382,12 +309,6 @@
             elif r.final is None and not r.streaming and now_us >= r.ask.expires_us + self.rules.answer_slack_us:
                 self._interlock(r, "answer overdue")
                 self._answer(now_us, r, c.Final.FAILED, "deadline")
-            elif (r.out is None and (r.state_at is not None or r.place is not None or r.held)
-                    and now_us - r.idle_since_us > PINNED_PART * self.rules.release_us):
-                self._interlock(r, "held too long")
-                self._release(r)
-            elif (r.out is not None and not self._was_out(r.out) and r.out.server.role is not i.Role.READ
-                    and (r.state_at is not None or r.held)
-                    and now_us - r.idle_since_us > PINNED_PART * self.rules.release_us):
-                self._unreached(now_us, r, r.out)
+            else:
+                self._look_at_what_is_held(now_us, r)
         return self._take()
--- a/yardspindle/core/request/open.py
+++ b/yardspindle/core/request/open.py
@@ -8,6 +8,7 @@
 from yardspindle import interface as i
 from yardspindle.core.hosts.directory import Server
 from yardspindle.core.request import commands as c
+from yardspindle.core.request.evidence import Evidence
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,8 +35,18 @@
     server: Server
     sent_us: int
     until_us: int  # when it is given up
+    evidence: Evidence
     place: int | None = None  # that a write is to take
-    written: bool = False  # its last byte is: until then it is not out, and nothing has run
+
+    @property
+    def written(self) -> bool:
+        """Whether its last byte was: until then nothing of it can have run."""
+        return self.evidence >= Evidence.WRITTEN
+
+    @property
+    def taken(self) -> bool:
+        """Whether a running server is known to have it: until then the time of what is held runs on."""
+        return self.evidence >= Evidence.TAKEN
 
 
 @dataclass(slots=True)
@@ -67,7 +78,7 @@
     places: int = 0
     held: bool = False  # `release_whole`: a state or place may be held for it somewhere
     unsure: bool = False  # and a read's connection was closed without its word: its state may come after a release
-    idle_since_us: int = 0  # since when no attempt is out
+    held_since_us: int = 0  # since when what is held waits for an attempt that a running server is known to have
 
 
 def phase(r: Open) -> str:
--- a/yardspindle/core/request/rooms.py
+++ b/yardspindle/core/request/rooms.py
@@ -6,8 +6,8 @@
 those of which nothing is known come in an order of each edge's own, or a fleet would ask one engine, dead or not, at
 the same moment. A read whose connection
 was closed may still leave its state after the word came, so that one is said once more a little later. A word that
-comes while a newer attempt of the request runs would take that attempt's state or place: whatever is still owed is
-forgotten when an attempt is sent, whose own end lets go of everything.
+comes while a newer attempt of the request runs would take that attempt's state or place, and an attempt that lies
+unread at a silent engine would keep the word from being said: so no attempt is written while one is owed.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 from yardspindle.interface import State
 
 AT_ONCE_MOST = 64  # words out at a time, so that a dead fleet does not draw a task for each request
-LATE_MOST = 16  # connections that others are asked beside: a host may be slow to accept, but a dead fleet says nothing
+LATE_MOST = 16  # calls that others are asked beside: a host may be slow to accept, but a dead fleet says nothing
 AGAIN_US = 120_000  # a read's end that crossed with our closing has come by then, and the rule's time has not
 MORE_AT_ONCE = 3  # engines asked together after one that was silent: with half of them cut off one in eight fails
 TRIES_AT_ONCE = 10  # engines asked without a pause, in four rounds; the rule gives 300 ms in all
@@ -39,6 +39,8 @@
     again: bool
     out: set[int] = field(default_factory=set)  # engines that are being asked
     tried: list[int] = field(default_factory=list)  # engines that did not answer, in order
+    heard: bool = False  # an engine has let go at least once
+    overdue: bool = False  # and this was told, as none had in time
 
 
 class Rooms:
@@ -79,9 +81,13 @@
         else:
             known.due_us, known.again = now_us, known.again or again
 
-    def in_use(self, request: int) -> Room | None:
-        """A newer attempt is sent; what was owed is left to its end."""
-        return self.owed.pop(request, None)
+    def take_overdue(self, now_us: int, limit_us: int) -> list[Room]:
+        """Those that no engine has heard for so long, each once."""
+        late = [room for room in self.owed.values()
+                if not room.heard and not room.overdue and now_us - room.since_us > limit_us]
+        for room in late:
+            room.overdue = True
+        return late
 
     def take_due(self, now_us: int, servers: Mapping[int, Server]) -> list[tuple[Room, Server]]:
         """What to say now, and to whom; each is answered for with `settled`."""
@@ -125,7 +131,7 @@
             self._said(now_us, room)
 
     def overdue(self, now_us: int, room: Room, server: int) -> bool:
-        """An engine's connection has not come up in time: others are asked. Whether it is waited for on."""
+        """An engine has not been heard in time: others are asked. Whether it is waited for on."""
         if self._late >= LATE_MOST:
             return False
         self._late += 1
@@ -141,6 +147,7 @@
                 self._said(now_us, room)
 
     def _said(self, now_us: int, room: Room) -> None:
+        room.heard = True
         if room.again:
             room.again, room.due_us = False, now_us + AGAIN_US
             room.out.clear()
--- a/yardspindle/core/request/rules.py
+++ b/yardspindle/core/request/rules.py
@@ -14,10 +14,12 @@
 from yardspindle import interface as i
 from yardspindle.core.hosts.directory import Server
 from yardspindle.core.request import commands as c
+from yardspindle.core.request.evidence import PROVES_TAKEN
 from yardspindle.core.request.open import EdgeRules
-from yardspindle.core.request.proof import PROVES_NOT_RUN, PROVES_WRITTEN
+from yardspindle.core.request.proof import PROVES_NOT_RUN
 
 LATE_TICK_US = 40_000  # the core looks at its clock every 20 ms; a busy loop may be one look late
+PINNED = "nothing left pinned"
 KEPT_ENDED = 2_000  # ended requests that are remembered, to catch what comes after an end
 
 
@@ -36,8 +38,10 @@
     state: tuple[int, str] | None = None  # the read's attempt, server
     places: dict[int, str] = field(default_factory=dict)
     riding: dict[int, tuple[int, str]] = field(default_factory=dict)  # by write: the place it is to take
-    idle_since_us: int = 0
-    unwritten: set[int] = field(default_factory=set)  # attempts whose last byte is not written: nothing is out
+    asked: dict[int, int] = field(default_factory=dict)  # by place: the read with which it was asked
+    held_since_us: int = 0  # since when what is held waits for an attempt that a running server is known to have
+    unwritten: set[int] = field(default_factory=set)  # attempts whose last byte is not written: nothing has run
+    taken: set[int] = field(default_factory=set)  # attempts that a running server is known to have
 
     @property
     def under_way(self) -> bool:
@@ -75,7 +79,7 @@
 
     def arrived(self, now_us: int, ask: i.Request, whole: bool) -> None:
         """A request was taken; `whole`: its client sees nothing before the last token."""
-        self.open[ask.request] = Watched(ask.expires_us, self._rules.effects[ask.cls], whole, idle_since_us=now_us)
+        self.open[ask.request] = Watched(ask.expires_us, self._rules.effects[ask.cls], whole, held_since_us=now_us)
 
     def left(self, now_us: int, request: int) -> None:
         """Its client is gone."""
@@ -97,22 +101,38 @@
         if known is None or attempt not in known.out:
             return
         write, server = known.out.pop(attempt)
-        if attempt not in known.unwritten or status in PROVES_WRITTEN:
-            known.idle_since_us = now_us
-        known.unwritten.discard(attempt)
+        self._over(now_us, known, attempt, status in PROVES_TAKEN)
         if status not in (i.Status.SERVED, i.Status.FULL):
-            self._untaken(known, attempt)
+            self._untaken(now_us, known, attempt)
         if write and status not in PROVES_NOT_RUN:
             known.ran = True
         if status is i.Status.READ:
+            self._holds(now_us, known)
             known.state = attempt, server
         elif write and (note == 1 or status is i.Status.SERVED):
             known.state = None
 
-    def place(self, request: int, place: int, server: str, held: bool) -> None:
-        """A writer holds a place for a request, or does not."""
+    def place_asked(self, now_us: int, request: int, place: int, listed: Server | None) -> bool:
+        """The call for a place is about to be written: it may be held from now on. Whether it may be asked."""
+        known = self.open.get(request)
+        if known is None or known.over or listed is None or not self._takes(now_us, listed):
+            return self._broken("drains kept" if known else "one final answer", request, "a call for a place")
+        self._holds(now_us, known)
+        known.places[place] = listed.name
+        return True
+
+    def place(self, now_us: int, request: int, place: int, server: str, held: bool | None) -> None:
+        """A writer holds a place for a request, or does not, or (None) nothing is known."""
         known = self._known(request)
-        if known is not None and held and not (known.over and not known.out):
+        if known is None:
+            return
+        read = known.asked.pop(place, None)
+        if held is not None and read in known.out and read not in known.unwritten:
+            known.taken.add(read)
+        if held is False:
+            known.places.pop(place, None)
+        elif held and not (known.over and not known.out):
+            self._holds(now_us, known)
             known.places[place] = server
 
     def written(self, request: int, attempt: int) -> None:
@@ -120,6 +140,12 @@
         if (known := self._known(request)) is not None:
             known.unwritten.discard(attempt)
 
+    def heard(self, request: int, attempt: int) -> None:
+        """The first bytes of an attempt's answer came."""
+        if (known := self._known(request)) is not None and attempt in known.out:
+            known.unwritten.discard(attempt)
+            known.taken.add(attempt)
+
     # --- what goes out
 
     def check(self, now_us: int, commands: list[c.Command]) -> list[c.Command]:
@@ -134,12 +160,13 @@
                 known = self._known(request)
                 if known is not None and attempt in known.out:
                     write, _ = known.out.pop(attempt)
-                    self._untaken(known, attempt)
-                    if attempt not in known.unwritten:
-                        known.ran = known.ran or write
-                        known.idle_since_us = now_us
-                    known.unwritten.discard(attempt)
+                    self._untaken(now_us, known, attempt)
+                    known.ran = known.ran or write and attempt not in known.unwritten
+                    self._over(now_us, known, attempt, False)
                     self._forget(request, known)
+            case c.AskPlace():
+                if (known := self.open.get(command.request)) is not None:
+                    known.asked[command.place] = command.read_attempt
             case c.ReleaseState(request, attempt):
                 known = self._known(request)
                 if known is not None and known.state is not None and known.state[0] == attempt:
@@ -173,6 +200,8 @@
         known.out[command.attempt] = write, command.server.name
         if self._rules.release_whole:
             known.unwritten.add(command.attempt)
+        else:
+            known.taken.add(command.attempt)  # it is not told there
         if write and self._rules.release_whole:  # a send to another writer gives a place up
             known.places = {n: at for n, at in known.places.items() if at == command.server.name}
         if isinstance(command, c.Write) and command.place is not None:
@@ -180,14 +209,19 @@
             known.riding[command.attempt] = command.place, command.server.name
         return True
 
-    def sending(self, now_us: int, request: int, attempt: int, listed: Server | None) -> bool:
-        """An attempt's first byte is about to be written, to a server as it is listed now; whether that may be."""
+    def sending(self, now_us: int, request: int, attempt: int, listed: Server | None, owed: bool = False) -> bool:
+        """An attempt's first byte is about to be written, to a server as it is listed now; whether that may be.
+
+        `owed`: a release of what an earlier attempt left is not heard yet.
+        """
         known = self.open.get(request)
         if known is None or known.over or attempt not in known.out:
             return self._broken("one final answer", request, "a first byte of an attempt that was called off")
         name = known.out[attempt][1]
         if listed is None or listed.name != name or not self._takes(now_us, listed):
             return self._broken("drains kept", request, f"a first byte to {name}")
+        if owed:
+            return self._broken(PINNED, request, f"a first byte to {name} while a release is owed")
         return True
 
     def _takes(self, now_us: int, server: Server) -> bool:
@@ -217,16 +251,32 @@
                 self._forget(request, known)
         for request, known in (*self.open.items(), *self._ended.items()):
             held = known.state is not None or known.places
-            out = known.out.keys() - known.unwritten
-            if held and not out and now_us - known.idle_since_us > self._rules.release_us:
-                self._broken("nothing left pinned", request, "held with no attempt out")
+            taken = known.out.keys() & known.taken
+            if held and not taken and now_us - known.held_since_us > self._rules.release_us:
+                self._broken(PINNED, request, f"{_what(known)} held with no attempt known to be at a running server")
                 known.state = None
                 known.places.clear()
 
-    def _untaken(self, known: Watched, attempt: int) -> None:
+    def release_overdue(self, now_us: int, request: int, since_us: int) -> None:
+        """A release was asked for and no server is known to have heard it, though the time of what is held is up."""
+        self._broken(PINNED, request, f"a release not heard for {(now_us - since_us) // 1_000} ms")
+
+    def _over(self, now_us: int, known: Watched, attempt: int, answered: bool) -> None:
+        """An attempt is out no more: the time of what is held begins anew if a running server surely had it."""
+        if answered or attempt in known.taken:
+            known.held_since_us = now_us
+        known.taken.discard(attempt)
+        known.unwritten.discard(attempt)
+
+    def _holds(self, now_us: int, known: Watched) -> None:
+        if known.state is None and not known.places:
+            known.held_since_us = now_us
+
+    def _untaken(self, now_us: int, known: Watched, attempt: int) -> None:
         """Without the writer's word a write's place may still be held."""
         if not known.streaming and attempt in known.riding:
             place, server = known.riding.pop(attempt)
+            self._holds(now_us, known)
             known.places[place] = server
 
     def _broken(self, rule: str, request: int, text: str) -> bool:
@@ -249,3 +299,12 @@
         """The breaks since the last call."""
         taken, self.breaks = self.breaks, []
         return taken
+
+
+def _what(known: Watched) -> str:
+    """What is held, and the attempts that are out, with how far each is known to have come."""
+    held = [f"a state at {known.state[1]}"] if known.state else []
+    held += [f"a place at {server}" for server in known.places.values()]
+    out = [f"{'write' if write else 'read'} {'unwritten' if attempt in known.unwritten else 'written'} at {server}"
+           for attempt, (write, server) in known.out.items()]
+    return ", ".join(held) + (f" ({', '.join(out)})" if out else "")
--- a/yardspindle/core/request/timeouts.py
+++ b/yardspindle/core/request/timeouts.py
@@ -24,7 +24,7 @@
 FREE_US = 70_000  # one host to hear of a release: the rule's 300 ms leave time for a few
 FREE_LATE_US = 600_000  # a host that is slow to accept, while others are asked: past the rule's time it is of no use
 FREE_DESCRIPTOR_US = 60_000  # of it for a descriptor, where none is left: what failed is known before the time is up
-FREE_FIRST_US = 50_000  # a new attempt for a release of its request that is under way
+RELEASE_LOOK_US = 2_000  # how often an attempt looks whether all releases of its request are heard
 DESCRIPTOR_US = 1_000_000  # for a descriptor where nothing is held meanwhile: what runs ends, and no host is to blame
 DESCRIPTOR_PAUSE_US = 5_000  # until a descriptor is tried for again: a tenth of the shortest time for a whole call
 
--- a/yardspindle/engine/http_client.py
+++ b/yardspindle/engine/http_client.py
@@ -43,6 +43,7 @@
     stream: Stream
     parser: http1.ResponseParser
     used_us: int = 0  # when it was last kept; 0 until then
+    heard: Callable[[], None] | None = None  # called once, when the first bytes of an answer come
 
 
 @dataclass(slots=True)
@@ -108,14 +109,16 @@
     def request(self, host: str, port: int, method: bytes, target: bytes, headers: http1.Headers,
                 body: bytes = b"", written: Callable[[], None] | None = None,
                 ready: Callable[[], http1.Headers] | None = None, connect_us: int | None = None,
-                rest_us: int = 0, descriptor_us: int | None = None) -> Response:
+                rest_us: int = 0, descriptor_us: int | None = None,
+                heard: Callable[[], None] | None = None) -> Response:
         """Send a request and wait for the response's head.
 
         `ready` is called, and may wait, when the connection is there and nothing is written: it gives the headers
         that only then are known, or raises to have nothing sent. `written` is called after the request's last byte.
         `ready` may be called again for another connection. `connect_us` bounds the making of this one connection;
         a kept one is used only if its last answer ended `rest_us` ago. `descriptor_us` bounds the wait for a descriptor
-        where none is left; the time for the connection begins after it.
+        where none is left; the time for the connection begins after it. `heard` is called when the first bytes of the
+        answer come: the server runs and has the request.
 
         Raises ConnectError or NotSent when nothing was sent whole, and else ExchangeBroken: it may have arrived.
         """
@@ -137,6 +140,7 @@
             self._write(connection, data)
             if written is not None:
                 written()
+            connection.heard = heard
             for _ in range(INTERIM_MOST + 1):
                 event = self._head(connection)
                 if isinstance(event, http1.ResponseHead) and event.status >= 200:
@@ -197,6 +201,9 @@
                     raise _spoilt("empty lines without end")
                 data = connection.stream.read()
                 if data:
+                    if connection.heard is not None:
+                        connection.heard()
+                        connection.heard = None
                     connection.parser.feed(data)
                     empty += 0 if connection.parser.stage is not http1.RESTING or data.strip(b"\r\n") else len(data)
                 elif connection.parser.closed:
--- a/yardspindle/node/executor.py
+++ b/yardspindle/node/executor.py
@@ -14,8 +14,8 @@
 from yardspindle.core.request import commands as c
 from yardspindle.core.request import timeouts
 from yardspindle.core.request.edge_core import EdgeCore
+from yardspindle.core.request.evidence import PROVES_TAKEN
 from yardspindle.core.request.planning import PlanningSession, Reply
-from yardspindle.core.request.proof import PROVES_WRITTEN
 from yardspindle.engine.http_client import ExchangeBroken
 from yardspindle.node import log
 from yardspindle.node.hosts import EVENT, EVENT_ENDS, CalledOff, Ended, Hosts, Stream, cached
@@ -152,7 +152,7 @@
         run.attempts.pop(command.attempt, None)
         if ended.status in (i.Status.CONNECT_FAILED, i.Status.RESET) and not ended.ours:
             self._core.rooms.silent(self._world.now_us(), command.server.number)
-        elif ended.status in PROVES_WRITTEN or ended.status is i.Status.CANCELLED:  # it streamed, and its client left
+        elif ended.status in PROVES_TAKEN or ended.status is i.Status.CANCELLED:  # it streamed, and its client left
             self._core.rooms.heard(self._world.now_us(), command.server.number)
         if ended.status is i.Status.READ:
             run.trace.read(self._world.now_us(), ended.note)
@@ -170,8 +170,8 @@
                 connect_us = None if isinstance(command, c.Read) else self._core.life.held_connect_us
                 said = self._hosts.send(
                     command.server, run.exchange.head.target, headers, run.exchange.body,
-                    lambda: self._written(command, run), lambda: self._ready(command, run), connect_us,
-                    timeouts.REST_US)
+                    lambda: self._written(command, run), lambda: self._heard(command),
+                    lambda: self._ready(command, run), connect_us, timeouts.REST_US)
                 if isinstance(said, Ended):
                     return said
                 try:
@@ -193,11 +193,14 @@
             said.close()
 
     def _ready(self, command: c.Read | c.Write, run: Running) -> http1.Headers:
-        """The connection is there: what is owed for the request is said no more, or it would take what this leaves."""
-        self._left_ms(command)
-        self.releases.wait(command.request)
-        self._look_for_close(run)
-        return [(b"req-deadline-ms", b"%d" % self._left_ms(command))]
+        """The connection is there: wait until nothing is owed for the request that would take what this leaves."""
+        while True:
+            if not self._core.life.left_ms(self._world.now_us(), command.request, command.attempt):
+                raise CalledOff
+            self._look_for_close(run)
+            if not self._core.owes(command.request):
+                return [(b"req-deadline-ms", b"%d" % self._left_ms(command))]
+            self._world.sleep_until(self._world.now_us() + timeouts.RELEASE_LOOK_US)
 
     def _look_for_close(self, run: Running) -> None:
         """A client's close that has come may wait unread behind this task: let the task that watches run first."""
@@ -220,6 +223,9 @@
         if signal is not None:
             signal.set()
 
+    def _heard(self, command: c.Read | c.Write) -> None:
+        self._core.heard(command.request, command.attempt)
+
     def _opening(self, stream: Stream) -> bytes:
         """A stream up to the end of its first event. Raises ExchangeBroken and ProtocolError."""
         opening, limit = b"", self._world.deadline(self._world.now_us() + timeouts.OPENING_US)
@@ -303,6 +309,8 @@
             self._look_for_close(run)
             if not self._core.asking(command.request, command.place, command.read_attempt):
                 raise CalledOff
+            if not self._core.place_asked(self._world.now_us(), command.request, command.place, command.server):
+                raise CalledOff
             run.trace.asked += not asked
             asked = True
             return []
--- a/yardspindle/node/hosts.py
+++ b/yardspindle/node/hosts.py
@@ -121,11 +121,13 @@
         self.http = http
 
     def send(self, server: Server, target: bytes, headers: http1.Headers, body: bytes,
-             written: Callable[[], None], ready: Ready, connect_us: int | None, rest_us: int) -> Ended | Stream:
+             written: Callable[[], None], heard: Callable[[], None], ready: Ready, connect_us: int | None,
+             rest_us: int) -> Ended | Stream:
         """Send the request to a reader or writer and wait for what it says, or for the head of its stream."""
         try:
             response = self.http.request(
-                server.host, server.port, b"POST", target, headers, body, written, ready, connect_us, rest_us)
+                server.host, server.port, b"POST", target, headers, body, written, ready, connect_us, rest_us,
+                heard=heard)
         except ConnectError as error:
             return Ended(Status.CONNECT_FAILED, detail=str(error), stale=isinstance(error, ConnectReset),
                          ours=isinstance(error, NoDescriptor))
--- a/yardspindle/node/release_tasks.py
+++ b/yardspindle/node/release_tasks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from yardspindle.core.hosts.directory import Server
 from yardspindle.core.request import commands as c
@@ -16,6 +17,14 @@
 from yardspindle.runtime.world import World
 
 
+@dataclass(slots=True)
+class ReleaseCall:
+    """A call that is out."""
+
+    written: bool = False  # it may be, by now
+    late: bool = False  # other hosts are asked beside it
+
+
 class ReleaseTasks:
     """The calls that are out, by request."""
 
@@ -28,28 +37,27 @@
         self._ids = ids
         self._perform = perform
         self._forget = forget
-        self.running: dict[int, dict[Task, bool]] = {}  # each call, and whether it may be written by now
+        self.running: dict[int, dict[Task, ReleaseCall]] = {}
 
     def start(self, room: Room, server: Server) -> None:
         """Ask one host to let go of all that is held for a request."""
         task = self._world.spawn("release", self._release, room, server)
-        self.running.setdefault(room.request, {})[task] = False
+        self.running.setdefault(room.request, {})[task] = ReleaseCall()
 
     def _release(self, room: Room, server: Server) -> None:
         heard: bool | None = False
-        late = False
         task, tasks = self._world.current(), self.running[room.request]
+        call = tasks[task]
 
         def ready() -> http1.Headers:
             if not self._core.freeing(room):
-                raise CalledOff  # a newer attempt was sent meanwhile, whose own end lets go of everything
-            tasks[task] = True
+                raise CalledOff  # another host has let go meanwhile
+            call.written = True
             return []
 
         def overdue() -> None:
-            nonlocal late
-            late, commands = self._core.room_overdue(self._world.now_us(), room, server.number, tasks[task])
-            if not late:
+            call.late, commands = self._core.room_overdue(self._world.now_us(), room, server.number)
+            if not call.late:
                 task.cancel()
             self._perform(commands)
 
@@ -65,33 +73,20 @@
             del tasks[task]
             if not tasks:
                 del self.running[room.request]
-            self._perform(self._core.room_settled(self._world.now_us(), room, server.number, heard, late))
+            if heard:
+                self._call_off_late(tasks)
+            self._perform(self._core.room_settled(self._world.now_us(), room, server.number, heard, call.late))
             self._log_release(room, server, heard)
             self._forget(room.request)
 
+    def _call_off_late(self, tasks: dict[Task, ReleaseCall]) -> None:
+        """A host has let go: what lies unread at one that was late must not come to it under a newer attempt."""
+        for task, call in list(tasks.items()):
+            if call.late and call.written:
+                task.cancel()
+
     def _log_release(self, room: Room, server: Server, heard: bool | None) -> None:
         """Tell of a release that did not get through at once."""
-        after_us = self._world.now_us() - room.since_us
-        if not heard or after_us > timeouts.FREE_US:
+        if not heard or room.tried:
             log.line("release", id=self._ids.get(room.request, b"?").decode(), at=server.name, heard=heard,
-                     tries=len(room.tried), ms=after_us // 1_000)
-
-    def wait(self, request: int) -> None:
-        """Releases that are under way must not take what a newer attempt needs: wait for them, then cut them off.
-
-        Those that are not written yet will not be: they are asked before (`EdgeCore.freeing`).
-        """
-        tasks = [task for task, written in self.running.get(request, {}).items() if written]
-        if not tasks:
-            return
-        limit = self._world.deadline(self._world.now_us() + timeouts.FREE_FIRST_US)
-        try:
-            with limit:
-                for task in tasks:
-                    task.join()
-        except DeadlineExceeded:
-            for task in tasks:
-                task.cancel()
-            if not limit.passed:  # it is the attempt's own time that is up
-                raise
-
+                     tries=len(room.tried), ms=(self._world.now_us() - room.since_us) // 1_000)
--- a/yardspindle/policy/life.py
+++ b/yardspindle/policy/life.py
@@ -123,6 +123,9 @@
             # A kept connection that broke under its next request, or one reset while it was made, says that
             # connections break: not that a server died.
             self._eject(server, status.value)
+        elif status is i.Status.TIMEOUT and event.note == 1:
+            # Not a word of it while its state was held: it went to a server that may be silent to all.
+            self._eject(server, "silent")
         if event.stale:
             self.lossy_us = self.now
         sent = self.now - event.latency_us
@@ -144,6 +147,8 @@
                 r.pinned_us = self.now
                 return self._next(r)
             r.avoid.add(event.server)
+            if status is i.Status.CANCELLED and r.place is not None:
+                r.avoid.add(r.place.entry.server)  # one of the two is silent, and nothing tells which
             if status is i.Status.CONNECT_FAILED and not event.stale:
                 r.unreached.add(server.entry.zone)
             self._drop_held(r)
@@ -152,8 +157,8 @@
             r.ran = True
             if r.cls.effect is not i.Effect.SAFE:  # keyed ones neither: not worth the risk
                 return self._end(r, "fail")
-        if event.note == 1 and status in (i.Status.FULL, i.Status.CONNECT_FAILED) or r.reader is None:
-            # No state is left, or it could be held no longer while connections did not come up: read again.
+        if event.note == 1 or r.reader is None:
+            # No state is left, or it could be held no longer while no word of a writer came: read again.
             self._drop_held(r)
             return self._start(r)
         r.pinned_us = self.now
