--- a/tests/crossing_ledger.py
+++ b/tests/crossing_ledger.py
@@ -174,7 +174,7 @@
                     out = max(out - 1, 0)
                 case "placed":
                     held = True
-                case "freed":
+                case "freed" | "died":
                     held = False
             since = at
         if held and not out:
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,208 @@
+"""Random, overlapping faults over a few dozen real processes on loopback, judged by the rules: `python -m tests.soak`.
+
+Dispatchers are the real program; model hosts are processes of `tests/soak_host.py`; clients and discovery's agents are
+here. The seed draws traffic and faults. What passed at hosts and clients is put together after the end and judged by
+the ledger of the crossings, one for each life of each dispatcher. The machine's own scheduling is not drawn: a seed
+brings the same faults again, not the same run.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import signal
+import sys
+import tempfile
+from pathlib import Path
+from time import monotonic
+
+from tests.crossing_parties import HERE
+from tests.crossings import TROUBLE
+from tests.soak_judge import judge_life
+from tests.soak_parties import GIVE_UP_MS, Parties, Plan, SoakHost
+
+KILL_S = GIVE_UP_MS / 1_000 + 0.7  # after SIGTERM
+SETTLE_S = 2.0  # after the last answer, for what is still to be let go of
+
+
+class Soak(Parties):
+    """One run."""
+
+    # --- faults
+
+    async def fault(self, kind: str) -> None:
+        draw, hosts = self.random, [h for h in self.hosts.values() if h.phase == "Ready"]
+        seconds = draw.uniform(0.3, 2.5)
+        if kind == "host dies":
+            await self._host_dies(draw.choice(hosts))
+        elif kind.startswith("host "):
+            group = self._group(hosts)
+            self.say(f"{kind} {seconds:.2f} s at {' '.join(h.name for h in group)}")
+            for host in group:
+                host.order(kind[5:], seconds)
+        elif kind == "freeze":
+            group = [h for h in self._group(hosts) if h.process.poll() is None]
+            self.say(f"freeze {seconds:.2f} s at {' '.join(h.name for h in group)}")
+            for host in group:
+                host.process.send_signal(signal.SIGSTOP)
+            begun = monotonic()
+            await asyncio.sleep(seconds)
+            for host in group:
+                host.process.send_signal(signal.SIGCONT)
+                self.frozen.append((host.name, begun, monotonic()))
+            self.say(f"thawed: {' '.join(h.name for h in group)}")
+        elif kind == "drain":
+            host = draw.choice(hosts)
+            if sum(h.role == host.role for h in hosts) > 2:
+                self.say(f"drain {host.name}")
+                host.phase, self.revision = "Terminating", self.revision + 1
+        elif kind == "agents silent":
+            self.say(f"agents silent {seconds:.2f} s")
+            self.silent_until = max(self.silent_until, monotonic() + seconds)
+        else:
+            await self._dispatcher_fault(kind, draw.choice(list(self.current)))
+
+    def _group(self, hosts: list[SoakHost]) -> list[SoakHost]:
+        """One host, some, or all of one role."""
+        how, role = self.random.choice(("one", "some", "role")), self.random.choice(("read", "write"))
+        if how == "one":
+            return [self.random.choice(hosts)]
+        if how == "some":
+            return self.random.sample(hosts, max(len(hosts) // 3, 1))
+        return [host for host in hosts if host.role == role]
+
+    async def _host_dies(self, host: SoakHost) -> None:
+        self.say(f"{host.name} dies")
+        host.process.kill()
+        host.process.wait()
+        for file in (self.folder / "states").iterdir():
+            if file.exists() and file.read_text() == host.name:
+                file.unlink(missing_ok=True)
+        with open(self.folder / "deaths.jsonl", "a") as file_of_deaths:
+            file_of_deaths.write(json.dumps({"host": host.name, "at": monotonic()}) + "\n")
+        await asyncio.sleep(self.random.uniform(0.2, 1.0))
+        phase = host.phase
+        self.start_host(host.name, host.role, host.port)
+        self.hosts[host.name].phase = phase
+
+    async def _dispatcher_fault(self, kind: str, name: str) -> None:
+        life = self.current[name]
+        if life.killed is not None or life.process.poll() is not None or life.ledger.term is not None:
+            return
+        self.say(f"{kind} {name}")
+        if kind == "dispatcher held up":
+            life.process.send_signal(signal.SIGSTOP)
+            begun = monotonic()
+            await asyncio.sleep(self.random.uniform(0.02, 0.14))
+            life.process.send_signal(signal.SIGCONT)
+            life.ledger.away.append((begun, monotonic()))
+            return
+        if kind == "dispatcher ends":
+            life.ledger.term = monotonic()
+            life.process.send_signal(signal.SIGTERM)
+            until = life.ledger.term + KILL_S
+            while life.process.poll() is None and monotonic() < until:
+                await asyncio.sleep(0.01)
+        if life.process.poll() is None:
+            life.killed = monotonic()
+            life.process.kill()
+        life.process.wait()
+        self.start_dispatcher(name)
+        await self.ready(name)
+
+    # --- the run
+
+    async def run(self) -> list[str]:
+        names = [f"n{at}" for at in range(self.plan.dispatchers)]
+        for at in range(self.plan.readers):
+            self.start_host(f"reader-{at}", "read")
+        for at in range(self.plan.writers):
+            self.start_host(f"writer-{at}", "write")
+        for name in names:
+            await self.agent(name)
+            spare = await asyncio.start_server(lambda reader, writer: None, HERE, 0)
+            self.ports[name] = spare.sockets[0].getsockname()[1]
+            spare.close()
+            await spare.wait_closed()
+            self.start_dispatcher(name)
+        for name in names:
+            await self.ready(name)
+        self.began = monotonic()
+        clients = [asyncio.create_task(self.client(name, number))
+                   for name in names for number in range(self.plan.clients)]
+        faults = [asyncio.create_task(self._at(at, kind)) for at, kind in self._draw()]
+        await asyncio.sleep(self.plan.seconds)
+        await asyncio.gather(*faults)
+        self.ended = True
+        await asyncio.gather(*clients)
+        await asyncio.sleep(SETTLE_S)
+        await self.close_agents()
+        return self.judge()
+
+    def _draw(self) -> list[tuple[float, str]]:
+        kinds = ["freeze"] * 5 + ["host mute"] * 2 + [
+            "host reset", "host lose", "host slow", "host decline", "host error", "host dies", "drain", "agents silent",
+            "dispatcher held up", "dispatcher ends", "dispatcher dies"]
+        return [(self.random.uniform(0.0, self.plan.seconds), self.random.choice(kinds))
+                for _ in range(self.plan.faults)]
+
+    async def _at(self, seconds: float, kind: str) -> None:
+        await asyncio.sleep(seconds)
+        await self.fault(kind)
+
+    def judge(self) -> list[str]:
+        rows = [json.loads(line) for file in self.folder.glob("*er-*.jsonl") for line in file.read_text().splitlines()
+                if line.endswith("}")]
+        deaths = self.folder / "deaths.jsonl"
+        died = [json.loads(line) for line in deaths.read_text().splitlines()] if deaths.exists() else []
+        found: list[str] = []
+        for life in self.lives:
+            found += [f"{life.log.name}: {text}" for text in judge_life(life, rows, died, self.frozen)]
+            log = life.log.read_text().splitlines()
+            found += [f"{life.log.name}: {line}" for line in log if line.startswith(TROUBLE)]
+            if life.killed is None and life.process.poll() not in (None, 0):
+                found.append(f"{life.log.name}: ended with {life.process.returncode}")
+        return found
+
+    def counts(self) -> dict[str, int]:
+        """Of the answers that clients got, by status."""
+        counts: dict[str, int] = {}
+        for life in self.lives:
+            for r in life.ledger.requests:
+                key = str(r.answers[0][1].status) if r.answers else "left" if r.left else "none"
+                counts[key] = counts.get(key, 0) + 1
+        return counts
+
+def play(seed: int, plan: Plan, folder: Path) -> tuple[list[str], Soak]:
+    """One run: what was broken."""
+    soak = Soak(seed, plan, folder)
+    try:
+        return asyncio.run(soak.run()), soak
+    finally:
+        soak.close()
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("first", type=int)
+    parser.add_argument("count", type=int, nargs="?", default=1)
+    parser.add_argument("--keep", type=Path, help="a folder for the records of runs with breaks")
+    for name, value in vars(Plan()).items():
+        parser.add_argument(f"--{name}", type=type(value), default=value)
+    given = vars(parser.parse_args())
+    plan = Plan(**{name: given[name] for name in vars(Plan())})
+    broken = 0
+    for seed in range(given["first"], given["first"] + given["count"]):
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=given["keep"]))
+        found, soak = play(seed, plan, folder)
+        broken += bool(found)
+        print(f"seed {seed}: {len(found)} breaks, answers {soak.counts()}", flush=True)
+        if found:
+            (folder / "breaks").write_text("\n".join([*found, "", f"second 0 is {soak.began:.3f}", *soak.story]))
+            print("\n".join(f"  {text}" for text in found[:20]), *(f"  {row}" for row in soak.story), sep="\n")
+    return int(broken > 0)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
