Call off a place that nobody answered when its request ends or its read is called off

The dispatcher's log says "place unknown" at 1.001 s.

Ruled out: the release after the time-out (it was heard at once); the end of the request (nothing was known to be held).

At fault: the call for a place lived on by its own time-out whatever became of its request, and the first token cleared what may be held though that call had no answer. Same class: what was written here was left to itself as if it could do nothing any more.

Change: the life cycle keeps which places were asked and not answered (Open.asking); as the request ends, or its read is called off for silence, each is called off (AbortPlace closes the connection) and the word that lets go is said twice, as the call may have been taken just before. A place not answered at the first token still counts as one that may be held.

--- a/tests/test_held_silent_hosts.py
+++ b/tests/test_held_silent_hosts.py
@@ -11,8 +11,9 @@
 
 import pytest
 
+from tests.crossing_ledger import HELD_MORE_S
 from tests.crossing_parties import Client
-from tests.crossings import Shared, Stage
+from tests.crossings import RELEASE_S, Shared, Stage
 
 REST_S = 0.03  # after its last answer a connection is used again
 
@@ -53,3 +54,44 @@
     else:
         client.leave("close")
     stage.check()
+
+
+def test_a_place_without_an_answer_is_called_off_as_its_request_ends(stage: Stage) -> None:
+    """Soak, seed 101: its call lay unread in a silent connection, and was taken when its request had been served."""
+    stage.fresh(places=None)
+    client = stage.client()
+    client.ask("a")
+    read, place = stage.call("read", "a"), stage.call("place", "a")
+    read.answer(202)
+    stage.call("write", "a").serve()
+    assert client.answer().status == 200
+    served = monotonic()
+    place.ended()
+    freed = stage.number("a").encode()
+    stage.until("two words that let go, as the call may have been taken after the first", lambda: sum(
+        kind == "freed" and number == freed for _, kind, number in stage.ledger.moves) > 1)
+    assert monotonic() - served < RELEASE_S + HELD_MORE_S
+    stage.check()
+
+
+def test_a_read_whose_place_has_no_answer_is_called_off_and_tried_elsewhere(stage: Stage) -> None:
+    """Nothing says that the read runs anywhere, while a place may be held: a reader and a writer are silent."""
+    stage.fresh(readers=2, writers=2)
+    for at in range(2):
+        stage.host("read", at).auto.pop("free", None)
+        stage.host("write", at).auto.pop("place")
+    client = stage.client()
+    client.ask("a")
+    first = stage.call("read", "a")
+    place = stage.call("place", "a")
+    for host in stage.hosts:
+        host.auto["free"], host.auto["place"] = 204, 200
+    assert first.ended() and place.ended()
+    second = stage.call("read", "a")
+    assert second.host is not first.host
+    second.answer(202)
+    write = stage.call("write", "a")
+    assert write.host is not place.host
+    write.serve()
+    assert client.answer().status == 200
+    stage.check()
--- a/yardspindle/core/request/commands.py
+++ b/yardspindle/core/request/commands.py
@@ -54,6 +54,14 @@
     read_attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class AbortPlace:
+    """Stop waiting for the answer to a place that was asked: close its connection; nothing more is heard of it."""
+
+    request: int
+    place: int
+
+
 @dataclass(frozen=True, slots=True)
 class ReleaseState:
     """Let go of the state that an attempt's read left at a reader, or may yet leave."""
@@ -166,5 +174,5 @@
     text: str
 
 
-Command = (Read | Write | AskPlace | ReleaseState | ReleasePlace | ReleaseAll | Abort | LastWords | Answer
+Command = (Read | Write | AskPlace | AbortPlace | ReleaseState | ReleasePlace | ReleaseAll | Abort | LastWords | Answer
            | CloseIdle | TellPlanner | Warn | Release | Free | Broken)
--- a/yardspindle/core/request/edge_core.py
+++ b/yardspindle/core/request/edge_core.py
@@ -123,7 +123,7 @@
         """The call for a place is about to be written; whether it may be. From now on the place may be held."""
         if not self.watch.place_asked(now_us, request, number, self.life.directory.servers.get(server.number)):
             return False
-        self.life.place_asked(now_us, request)
+        self.life.place_asked(now_us, request, number)
         return True
 
     def freeing(self, room: Room) -> bool:
--- a/yardspindle/core/request/ends.py
+++ b/yardspindle/core/request/ends.py
@@ -108,9 +108,18 @@
     def _release_all(self, r: Open) -> None:
         """One word lets go of everything; none under an attempt that may run, whose state or place it would take."""
         if r.held and (r.out is None or r.out.server.role is i.Role.READ and not r.out.written):
+            if r.final is not None:
+                self._stop_asking(r)
             self._commands.append(c.ReleaseAll(r.ask.request, r.unsure))
             r.state, r.state_at, r.place, r.held, r.unsure = None, None, None, False, False
 
+    def _stop_asking(self, r: Open) -> None:
+        """A place whose answer is awaited may come to be held after the word: it is called off, and that said again."""
+        for place in sorted(r.asking):
+            self._commands.append(c.AbortPlace(r.ask.request, place))
+            r.unsure = True
+        r.asking.clear()
+
     def _release_state(self, r: Open) -> None:
         if r.state_at is not None:
             if not self.rules.release_whole:
--- a/yardspindle/core/request/holds.py
+++ b/yardspindle/core/request/holds.py
@@ -56,10 +56,11 @@
         server = self.directory.servers.get(r.place.server.number)
         return server is not None and server.closed_us is None and self._as_connected(server, r.place.server)
 
-    def place_asked(self, now_us: int, request: int) -> None:
+    def place_asked(self, now_us: int, request: int, number: int) -> None:
         """The call for a place is being written: from now on it may be held, whatever is answered."""
         r = self.open.get(request)
         if r is not None:
+            r.asking.add(number)
             self._hold(now_us, r)
 
     def place_answered(self, now_us: int, request: int, number: int, server: Server,
@@ -67,6 +68,8 @@
         """A writer said yes or no to a place, or (None) was not heard; a place nobody wants is let go."""
         r = self.open.get(request)
         place = r.place if r is not None else None
+        if r is not None:
+            r.asking.discard(number)
         if r is None or place is None or place.number != number:
             self._place_too_late(now_us, r, request, number, server, held)
             return self._take()
@@ -131,6 +134,7 @@
         else:
             r.ran = r.ran or may_have_run(out.server.role, status)
         self._untaken(now_us, r, out)
+        self._stop_asking(r)
         self._release(r)
         self._tell(r, i.Outcome(r.ask.request, out.number, out.server.number, status, now_us - out.sent_us, False,
                                 NOTHING_HELD))
--- a/yardspindle/core/request/lifecycle.py
+++ b/yardspindle/core/request/lifecycle.py
@@ -220,7 +220,8 @@
         if r is None or r.final is not None or r.out is None or r.out.number != number:
             return False
         r.streaming = True
-        r.state, r.state_at, r.held = None, None, False  # the writer has fetched it, and what else was held is gone
+        r.state, r.state_at = None, None  # the writer has fetched it, and what else was held is gone
+        r.held = bool(r.asking)  # but for a place that may yet come to be
         self._tell(r, i.First(request, number, r.out.server.number, now_us - r.out.sent_us))
         return True
 
--- a/yardspindle/node/executor.py
+++ b/yardspindle/node/executor.py
@@ -118,7 +118,12 @@
                     self._world.spawn("last words", self._last_words, request, known)
             case c.AskPlace():
                 run = self.running[command.request]
-                self._world.spawn("place", self._ask_place, command, run)
+                run.places[command.place] = self._world.spawn("place", self._ask_place, command, run)
+            case c.AbortPlace(request, place):
+                known = self.running.get(request)
+                if known is not None and place in known.places:
+                    known.places.pop(place).cancel()
+                    log.line("place called off", id=self._name(request))
             case c.Free(room, server):
                 self.releases.start(room, server)
             case c.Answer(request):
@@ -333,6 +338,7 @@
         if asked and held is None:
             log.line("place unknown", id=run.id.decode(), at=command.server.name,
                      ms=(self._world.now_us() - began) // 1_000)
+        run.places.pop(command.place, None)
         self.ids.setdefault(command.request, run.id)  # its release may be all that is left of it
         self.perform(self._core.place_answered(
             self._world.now_us(), command.request, command.place, command.server, held))
--- a/yardspindle/node/running.py
+++ b/yardspindle/node/running.py
@@ -22,6 +22,7 @@
     done: Signal
     answer: c.Answer | None = None
     attempts: dict[int, Task] = field(default_factory=dict)
+    places: dict[int, Task] = field(default_factory=dict)  # asked, not answered
     stream: Stream | None = None  # that goes to its client
     sent: dict[int, Signal] = field(default_factory=dict)  # reads: set once the last byte is written
     written: set[int] = field(default_factory=set)  # attempts whose last byte is written
