Withhold releases under attempts, count unheard ones, drop a silent host's connections

Change: RuleWatch, which sees every command and every first byte, now also sees a release's first byte (withheld while an attempt that may run is out) and tells of a release that no host heard in the release time, once each. Violations, interlocks and lapsed releases are in the counts line.

--- a/tests/soak_parties.py
+++ b/tests/soak_parties.py
@@ -86,6 +86,7 @@
         self.servers: list[asyncio.Server] = []
         self.revision = 1
         self.silent_until = 0.0  # of all agents
+        self.silent: dict[str, float] = {}  # hosts that are stopped, or whose connections are silent, and until when
         self.frozen: list[tuple[str, float, float]] = []  # host, from, to
         self.stopped: list[tuple[float, float]] = []  # a dispatcher was
         self.story: list[str] = []
--- a/yardspindle/core/request/edge_core.py
+++ b/yardspindle/core/request/edge_core.py
@@ -41,7 +41,8 @@
     def counts(self) -> dict[str, int]:
         """What was taken, how it ended, what was stopped by itself, and the rules found broken, since the start."""
         broken = {f"broken_{rule.replace(' ', '_')}": count for rule, count in sorted(self.watch.violations.items())}
-        return self.life.tally.fields() | {"violations": sum(broken.values())} | broken
+        releases = {"releases_lapsed": self.rooms.lapsed + self.releases.lapsed}
+        return self.life.tally.fields() | releases | {"violations": sum(broken.values())} | broken
 
     def planner_up(self, now_us: int, epoch: int) -> list[c.Command]:
         """A planner decides from now on."""
@@ -127,8 +128,8 @@
         return True
 
     def freeing(self, room: Room) -> bool:
-        """Whether a release whose first byte is about to be written is still owed."""
-        return self.rooms.owed.get(room.request) is room
+        """Whether a release whose first byte is about to be written is owed, and takes nothing from an attempt."""
+        return self.rooms.owed.get(room.request) is room and self.watch.releasing(room.request)
 
     def written(self, request: int, number: int) -> None:
         """An attempt's last byte is written: from now on it is out."""
@@ -166,9 +167,11 @@
 
     def room_overdue(self, now_us: int, room: Room, server: int) -> tuple[bool, list[c.Command]]:
         """An engine has not been heard in time. Whether it is waited for on, and who is asked meanwhile."""
+        silent = self.life.directory.servers.get(server)
+        commands: list[c.Command] = [c.CloseIdle(silent)] if silent is not None else []
         if not self.rooms.overdue(now_us, room, server):
-            return False, []
-        return True, self._due(now_us)
+            return False, commands
+        return True, [*commands, *self._due(now_us)]
 
     def _out(self, now_us: int, commands: list[c.Command]) -> list[c.Command]:
         allowed = self.watch.check(now_us, commands)
--- a/yardspindle/core/request/holds.py
+++ b/yardspindle/core/request/holds.py
@@ -126,6 +126,10 @@
         self._interlock(r, "held while unanswered" if out.written else "held while connecting")
         reason = c.AbortReason.UNANSWERED if out.written else c.AbortReason.NOT_CONNECTED
         self._commands.append(c.Abort(r.ask.request, out.number, out.server, reason))
+        if out.written:  # what else is kept open to a silent server may be as silent: the next call takes a new one
+            self._commands.append(c.CloseIdle(out.server))
+            if r.place is not None and not r.place.held:
+                self._commands.append(c.CloseIdle(r.place.server))
         r.out = None
         status = i.Status.TIMEOUT if out.written else i.Status.CONNECT_FAILED
         if out.server.role is i.Role.READ:
--- a/yardspindle/core/request/rules.py
+++ b/yardspindle/core/request/rules.py
@@ -257,6 +257,12 @@
                 known.state = None
                 known.places.clear()
 
+    def releasing(self, request: int) -> bool:
+        """A release's first byte is about to be written; whether it takes nothing from an attempt that may run."""
+        known = self._known(request)
+        written = known.out.keys() - known.unwritten if known is not None else set()
+        return not written or self._broken(PINNED, request, f"a release under attempts {sorted(written)}")
+
     def release_overdue(self, now_us: int, request: int, since_us: int) -> None:
         """A release was asked for and no server is known to have heard it, though the time of what is held is up."""
         self._broken(PINNED, request, f"a release not heard for {(now_us - since_us) // 1_000} ms")
