--- a/tests/soak.py
+++ b/tests/soak.py
@@ -102,6 +102,8 @@
         life = self.current[name]
         if life.killed is not None or life.process.poll() is not None or life.ledger.term is not None:
             return
+        if b"ready" not in life.log.read_bytes():
+            return  # told to end before it can hear that, it ends at once: nothing was taken
         self.say(f"{kind} {name}")
         if kind == "dispatcher held up":
             life.process.send_signal(signal.SIGSTOP)
