Accept on after network errors of a connection that was about to be accepted

Found again in the audit of paths that end work: RealListener.accept and _take raise on any error that is not listed, and the task that accepts ends with it.

Change: the errors that accept(2) names as those of the new connection (and its reset, time-out, refusal by a filter and EINTR) are passed over; the next connection is accepted. Errors of the listener itself are raised as before.

Measured: the new test fails without it at ENETDOWN; 9 tests of the file pass.

--- a/tests/test_runtime_sockets.py
+++ b/tests/test_runtime_sockets.py
@@ -15,7 +15,7 @@
 import pytest
 
 from tests.test_runtime import world
-from yardspindle.runtime.real import RealWorld
+from yardspindle.runtime.real import LOST_IN_ACCEPT, RealWorld
 from yardspindle.runtime.scheduler import DeadlineExceeded
 from yardspindle.runtime.world import ConnectError, Stream, StreamError
 
@@ -167,3 +167,41 @@
     finally:
         signal.signal(signal.SIGTERM, before[0])
         signal.signal(signal.SIGINT, before[1])
+
+
+class FailingSocket:
+    """A listening socket whose accept fails once with each of some errors."""
+
+    def __init__(self, sock: socket.socket, errors: list[int]) -> None:
+        self._sock, self.errors = sock, errors
+
+    def accept(self) -> tuple[socket.socket, object]:
+        if self.errors:
+            raise OSError(self.errors.pop(0), "as told")
+        return self._sock.accept()
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._sock, name)
+
+
+def test_errors_of_a_connection_that_is_accepted_do_not_end_the_listener() -> None:
+    """With ENETUNREACH from one accept in eight the task that accepts ended without a word, and nobody was served."""
+    w = world()
+
+    def main() -> None:
+        listener = w.listen("127.0.0.1", 0)
+        errors = list(LOST_IN_ACCEPT)
+        listener._sock = FailingSocket(listener._sock, errors)  # type: ignore[attr-defined]
+        accepted = w.spawn("accept", listener.accept)
+        near = w.connect("127.0.0.1", listener.port, w.now_us() + 1_000_000)
+        far: Stream = accepted.join()
+        assert not errors
+        errors += LOST_IN_ACCEPT
+        admitted: list[Stream] = []
+        second = w.connect("127.0.0.1", listener.port, w.now_us() + 1_000_000)
+        listener.stop(admitted.append)
+        assert len(admitted) == 1 and not errors
+        for stream in (near, far, second, *admitted):
+            stream.close()
+
+    w.run("main", main)
--- a/yardspindle/runtime/real.py
+++ b/yardspindle/runtime/real.py
@@ -42,6 +42,10 @@
 
 T = TypeVar("T")
 WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK)
+# Of the connection that would have been accepted, not of the listener (accept(2) names them): the next may be had.
+LOST_IN_ACCEPT = (
+    errno.ECONNABORTED, errno.EPROTO, errno.ENETDOWN, errno.ENOPROTOOPT, errno.EHOSTDOWN, errno.ENONET, errno.EHOSTUNREACH,
+    errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.ECONNRESET, errno.EPERM, errno.EINTR)
 OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 ACCEPT_PAUSE_US = 50_000  # after the descriptors ran out: time for some connection to close
 
@@ -165,7 +169,7 @@
                     if self._world.relieve():
                         continue
                     self._world.sleep_until(self._world.now_us() + ACCEPT_PAUSE_US)
-                elif error.errno not in (errno.ECONNABORTED, errno.EPROTO):
+                elif error.errno not in LOST_IN_ACCEPT:
                     raise
 
     def stop(self, admit: Callable[[Stream], None]) -> None:
@@ -185,7 +189,7 @@
             except OSError as error:
                 if error.errno in WOULD_BLOCK:
                     return
-                if error.errno not in (errno.ECONNABORTED, errno.EPROTO):
+                if error.errno not in LOST_IN_ACCEPT:
                     raise
 
     def close(self) -> None:
