--- a/yardspindle/runtime/real.py
+++ b/yardspindle/runtime/real.py
@@ -45,7 +45,8 @@
 # Of the connection that would have been accepted, not of the listener (accept(2) names them): the next may be had.
 LOST_IN_ACCEPT = (
     errno.ECONNABORTED, errno.EPROTO, errno.ENETDOWN, errno.ENOPROTOOPT, errno.EHOSTDOWN, errno.ENONET,
-    errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.ECONNRESET, errno.EPERM, errno.EINTR)
+    errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH,
+    errno.ETIMEDOUT, errno.ECONNRESET, errno.EPERM, errno.EINTR)
 OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 ACCEPT_PAUSE_US = 50_000  # after the descriptors ran out: time for some connection to close
 
