End a soak's hosts when whoever orders them has gone

Seen: a soak that was ended by a signal left twenty host processes. A host's standard input ends then; it exits at that. Measured: the two runs of tests/test_soak.py pass and leave no process.

--- a/tests/soak_host.py
+++ b/tests/soak_host.py
@@ -10,6 +10,7 @@
 
 import contextlib
 import json
+import os
 import random
 import select
 import socket
@@ -74,6 +75,7 @@
             else:
                 self.muted_since = monotonic() if kind == "mute" else self.muted_since
                 self.troubles[kind] = monotonic() + float(seconds)
+        os._exit(0)  # whoever gives the orders has gone
 
     def _connection(self, sock: socket.socket) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
