--- a/tests/test_held_silent_hosts.py
+++ b/tests/test_held_silent_hosts.py
@@ -6,26 +6,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from time import monotonic
 
 import pytest
 
 from tests.crossing_ledger import HELD_MORE_S
 from tests.crossing_parties import Client
-from tests.crossings import RELEASE_S, Shared, Stage
+from tests.crossings import RELEASE_S, Stage
 
 BATCHES_MOST = 10
 REST_S = 0.03  # after its last answer a connection is used again
 
 
-@pytest.fixture(scope="module")
-def shared(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Shared]:
-    shared = Shared(tmp_path_factory.mktemp("node"))
-    yield shared
-    shared.close()
-
-
 def with_kept_connections(stage: Stage, writers: int) -> Client:
     """A client of a dispatcher that keeps a connection to each of so many writers, which all fall silent now."""
     stage.fresh(readers=1, writers=writers)
