Log attempts at cold servers with the server's age, and how often a release was said

Each such attempt has a line now (request, attempt, server, age, warmth), the counts tell attempts sent and withheld, 'host started' tells the number under which the policy knows a host, and a release tells how often it was said.

--- a/yardspindle/core/request/rooms.py
+++ b/yardspindle/core/request/rooms.py
@@ -40,6 +40,7 @@
     out: set[int] = field(default_factory=set)  # engines that are being asked
     tried: list[int] = field(default_factory=list)  # engines that did not answer, in order
     heard: bool = False  # an engine has let go at least once
+    said: int = 0  # how many times an engine has
     overdue: bool = False  # and this was told, as none had in time
 
 
@@ -148,6 +149,7 @@
 
     def _said(self, now_us: int, room: Room) -> None:
         room.heard = True
+        room.said += 1
         if room.again:
             room.again, room.due_us = False, now_us + AGAIN_US
             room.out.clear()
--- a/yardspindle/node/app.py
+++ b/yardspindle/node/app.py
@@ -113,7 +113,7 @@
         self._server.drain(times.gone_us)
         while (self.core.rooms.owed or self.executor.asking) and self.world.now_us() < times.let_go_us:
             self.world.sleep_until(self.world.now_us() + TICK_US)
-        log.line("counts", **self.core.counts())
+        log.line("counts", **self.core.counts(), **self.policy.counts())
 
     def _leave(self) -> None:
         """The process is about to be killed: every request gets its answer now."""
@@ -134,12 +134,13 @@
                     self.executor.forget(number)
             if now - counted_us > COUNTS_US:
                 counted_us = now
-                log.line("counts", **self.core.counts())
+                log.line("counts", **self.core.counts(), **self.policy.counts())
 
     def _news(self) -> None:
         now = self.world.now_us()
         for member in self.hosts.started:
-            log.line("host started", id=member.id, kind=member.flavor, up=f"{member.up_since_ms:.0f}")
+            log.line("host started", id=member.id, number=self.hosts.number(member.id), kind=member.flavor,
+                     up=f"{member.up_since_ms:.0f}")
         self.executor.perform(self.core.servers(now, self.hosts.servers()))
         self.executor.members(self.hosts.members())
 
--- a/yardspindle/node/release_tasks.py
+++ b/yardspindle/node/release_tasks.py
@@ -96,4 +96,4 @@
         """Tell of a release that did not get through at once."""
         if not heard or room.tried:
             log.line("release", id=self._ids.get(room.request, b"?").decode(), at=server.name, heard=heard,
-                     tries=len(room.tried), ms=(self._world.now_us() - room.since_us) // 1_000)
+                     tries=len(room.tried), ms=(self._world.now_us() - room.since_us) // 1_000, said=room.said)
--- a/yardspindle/policy/hosts.py
+++ b/yardspindle/policy/hosts.py
@@ -80,10 +80,25 @@
         start = self.set.start_capacity
         return start + (1 - start) * min(max(age, 0) / max(self.set.cold_us, 1), 1.0)
 
+    def _log_slow_start(self, r: Open, server: Server) -> None:
+        """Tell of an attempt that goes to a cold server: the fleet's sum is put together from all routers' logs."""
+        warmth = self._warmth(server)
+        if warmth < 1:
+            self.slow_start_sent += 1
+            age = "unknown" if server.refused else f"{(self.now - server.since_us) // 1_000} ms"
+            self.acts.append(i.Log(f"slow start: request {r.ask.request}, attempt {r.attempts}, to "
+                                   f"{server.entry.server}, age {age}, warmth {warmth:.2f}"))
+
+    def counts(self) -> dict[str, int]:
+        """Counts since the start, by name, for a line of a log."""
+        return {"slow_start_sent": self.slow_start_sent, "slow_start_withheld": self.slow_start_withheld}
+
     def _fit(self, usable: list[Server], known: int, r: Open) -> list[Server]:
         """Leave out what is cold, but for the part of the requests that it can do."""
         part = SLOW_START_PART * len(usable) / max(known, 1)
-        return [s for s in usable if (warmth := self._warmth(s)) >= 1 or r.draw < part * warmth]
+        fit = [s for s in usable if (warmth := self._warmth(s)) >= 1 or r.draw < part * warmth]
+        self.slow_start_withheld += len(fit) < len(usable)
+        return fit
 
     def _usable(self, server: Server, r: Open) -> bool:  # not shut (for the tenant), no trial out
         shut = max(server.ejected_until, server.full.get(r.ask.tenant, (0, 0))[0])
--- a/yardspindle/policy/life.py
+++ b/yardspindle/policy/life.py
@@ -26,6 +26,7 @@
         self._start(r)
 
     def _send(self, r: Open, server: Server) -> None:
+        self._log_slow_start(r, server)
         server.out[(r.ask.request, r.attempts)] = self.now
         r.out[r.attempts] = server
         r.attempts, r.pinned_us = r.attempts + 1, 0
--- a/yardspindle/policy/state.py
+++ b/yardspindle/policy/state.py
@@ -89,5 +89,7 @@
         self.lossy_us = LONG_AGO_US  # when a break last said nothing of its server, or a request got lost
         self.refused_us = LONG_AGO_US  # when a writer last had no place for us
         self.held = 0.0  # own tokens that take up writers' memory
+        self.slow_start_sent = 0  # attempts that were sent to cold servers
+        self.slow_start_withheld = 0  # times that a request was kept away from a cold server
         self.sweep_set = False
         self.acts: list[i.Action] = []
