--- a/benchmarks/slow_start_fleet.py
+++ b/benchmarks/slow_start_fleet.py
@@ -30,7 +30,6 @@
 START, COLD_US, MULTIPLE, FALL_US = 0.26, 5 * S, 2.5, 2 * S
 A_SECOND = 8.0  # requests of mean work that a warm host does in a second, reader or writer
 TOKENS, QUEUE, SLOTS, HOP_US = 2_000.0, 16, 8, 500
-WRITE_US = SLOTS / A_SECOND * S
 AIM_US, LIFE_US = 1_500 * MS, 4 * S
 START_AT = 2 * S  # when the hosts of a case come back
 
@@ -41,21 +40,28 @@
 
     entry: i.Entry
     reads: bool
+    rate: float = A_SECOND
+    by_work: bool = False  # once back it warms by what it does, not by time
+    done: int = 0  # pieces of work since it came back
     up: int = -(1 << 50)  # since when it serves
     down: int = 1 << 60  # from when on, until `up`, it refuses connections; never
+    again_down: int = 1 << 60  # from when on it refuses them for good
     full: bool = False  # turns all away
     free_at: float = 0.0  # reader: when its queue is done
     waiting: int = 0
     busy: int = 0  # writer: streams and places
-    sent: list[tuple[int, int, bool]] = field(default_factory=list)  # when, by whom, was it told of the start
+    sent: list[tuple[int, float, bool]] = field(default_factory=list)  # when, how warm, its sender was told
     work: list[tuple[float, float]] = field(default_factory=list)  # at which it was, from, to; a writer's in slots
     life: int = 0  # which: what it was at when it died is lost
 
     def warmth(self, now: int) -> float:
-        return START + (1 - START) * min(max(now - self.up, 0) / COLD_US, 1.0)
+        if now >= self.up + COLD_US:
+            return 1.0
+        part = self.done / (self.rate * COLD_US / S) if self.by_work else max(now - self.up, 0) / COLD_US
+        return START + (1 - START) * min(part, 1.0)
 
     def dead(self, now: int) -> bool:
-        return self.down <= now < self.up
+        return self.down <= now < self.up or now >= self.again_down
 
 
 def allowance(n: float) -> float:
@@ -63,9 +69,9 @@
     return n + 2 * math.sqrt(n) + 2
 
 
-def budget(host: Host, now: int) -> float:
-    """N at the moment, by the settings: the ramp is not told, a line is taken for it."""
-    return MULTIPLE * host.warmth(now) * A_SECOND * FALL_US / S
+def budget(host: Host, warmth: float) -> float:
+    """N of a host that is so warm, by the settings."""
+    return MULTIPLE * warmth * host.rate * FALL_US / S
 
 
 @dataclass
@@ -76,7 +82,10 @@
     cells: int = 4
     load: float = 0.9  # work offered over what the warm hosts of a stage do
     burst: float = 1.5  # times that, from the hosts' return on
-    dead: Callable[[int, Host], bool] = lambda at, host: False  # from the return on, to the end
+    dead: Callable[[int, Host], bool] = lambda at, host: False  # to the end,
+    dead_us: int = 0  # from so long after the return on
+    rate: float = A_SECOND
+    by_work: bool = False  # cold hosts warm by what they do, or are cold to the end; not by time
     full: Callable[[int, Host], bool] = lambda at, host: False
     down_us: int = 1 * S  # for how long it was gone
     told_us: tuple[int, int] = (300 * MS, 700 * MS)  # after its start, by dispatcher
@@ -99,7 +108,7 @@
         self.pushed = 0
         hosts = case.cells * 6
         self.hosts = {n + 1: Host(i.Entry(n + 1, "ab"[n // 6 % 2], "rw"[n % 6 // 3], n // 6, i.State.SERVING, 1.0),
-                                  n % 6 < 3) for n in range(hosts)}
+                                  n % 6 < 3, case.rate, case.by_work) for n in range(hosts)}
         self.cold = [h for at, h in enumerate(self.hosts.values()) if case.cold(at, h)]
         self.policies = [Policy(i.Settings(
             me=me, instances=dispatchers, zone="ab"[me % 2], classes=(i.RequestClass("c", AIM_US, LIFE_US),),
@@ -171,24 +180,27 @@
         if host.dead(self.now):
             return self.end(me, number, seq, i.Status.CONNECT_FAILED, sent)
         if host in self.cold and self.now >= host.up:
-            host.sent.append((self.now, me, self.now >= self.told.get((me, host.entry.server), 1 << 60)))
+            host.sent.append((self.now, host.warmth(self.now),
+                              self.now >= self.told.get((me, host.entry.server), 1 << 60)))
         took = self.draw.uniform(0.5, 1.5) / host.warmth(self.now)
         held = host in self.places.get(number, set())
         if host.full or (host.waiting >= QUEUE if host.reads else host.busy >= SLOTS and not held):
             return self.end(me, number, seq, i.Status.FULL, sent)
         life = host.life
+        host.done += 1
         if host.reads:
             host.waiting += 1
             begun = max(host.free_at, self.now)
-            host.free_at = begun + took * S / A_SECOND
+            host.free_at = begun + took * S / host.rate
             host.work.append((begun, host.free_at))
             return self.at(host.free_at, lambda: self.done(me, number, seq, host, sent, life))
         host.busy += not held
-        host.work.append((self.now, self.now + took * WRITE_US))
+        host.work.append((self.now, self.now + took * SLOTS / host.rate * S))
         if held:
             self.places[number].discard(host)
-        self.at(self.now + took * WRITE_US / 10, lambda: self.first(me, number, seq, host, sent))
-        return self.at(self.now + took * WRITE_US, lambda: self.done(me, number, seq, host, sent, life))
+        write_us = took * SLOTS / host.rate * S
+        self.at(self.now + write_us / 10, lambda: self.first(me, number, seq, host, sent))
+        return self.at(self.now + write_us, lambda: self.done(me, number, seq, host, sent, life))
 
     def first(self, me: int, number: int, seq: int, host: Host, sent: int) -> None:
         if (number, seq) in self.out:
@@ -198,7 +210,7 @@
             self.feed(me, i.First(number, seq, host.entry.server, self.now - sent))
 
     def die(self, host: Host) -> None:
-        host.life, host.waiting, host.busy, host.free_at = host.life + 1, 0, 0, 0.0
+        host.life, host.waiting, host.busy, host.free_at, host.done = host.life + 1, 0, 0, 0.0, 0
         host.work.clear()
         for held in self.places.values():
             held.discard(host)
@@ -261,7 +273,7 @@
 
     def times(self) -> Iterator[float]:
         """A Poisson stream for both stages, half as much again from the return on."""
-        warm = self.case.cells * 3 * A_SECOND * self.case.load / S
+        warm = self.case.cells * 3 * self.case.rate * self.case.load / S
         now = self.case.begin_at + 1.0
         while True:
             now += self.draw.expovariate(warm * (self.case.burst if now >= START_AT else 1.0))
@@ -274,9 +286,10 @@
             host.down = host.up - case.down_us
         for at, host in enumerate(everyone):
             if case.dead(at, host):
-                host.down, host.up = START_AT, 1 << 60
-            if host.down < case.until:
-                self.at(host.down, partial(self.die, host))
+                host.again_down = START_AT + case.dead_us
+            for when in (host.down, host.again_down):
+                if when < case.until:
+                    self.at(when, partial(self.die, host))
             host.full = case.full(at, host)
         for me in range(len(self.policies)):
             self.at(case.begin_at, partial(self.list_to, me, i.ListKind.COMPLETE, everyone))
@@ -303,22 +316,23 @@
 
     def worst(self, told: bool = False) -> float:
         """The largest ratio to the allowance, of any cold host in any window; of what those told had sent alone."""
-        return max((self.ratio(h, [at for at, _, knew in h.sent if knew or not told]) for h in self.cold), default=0.0)
+        return max((self.ratio(h, [row for row in h.sent if row[2] or not told]) for h in self.cold), default=0.0)
 
-    def ratio(self, host: Host, times: list[int]) -> float:
-        while_cold = [at for at in times if at < host.up + COLD_US]
-        return max(((bisect_left(while_cold, at + FALL_US) - n) / allowance(budget(host, at))
-                    for n, at in enumerate(while_cold)), default=0.0)
+    def ratio(self, host: Host, sent: list[tuple[int, float, bool]]) -> float:
+        while_cold = [row for row in sent if row[0] < host.up + COLD_US]
+        times = [at for at, _, _ in while_cold]
+        return max(((bisect_left(times, at + FALL_US) - n) / allowance(budget(host, warmth))
+                    for n, (at, warmth, _) in enumerate(while_cold)), default=0.0)
 
     def broken(self) -> float:
         """As the pages break the rule: the largest ratio of a window of which over two thirds came from those told."""
         most = 0.0
         for host in self.cold:
-            sent = [(at, knew) for at, _, knew in host.sent if at < host.up + COLD_US]
-            for n, (at, _) in enumerate(sent):
-                window = [knew for when, knew in sent[n:] if when < at + FALL_US]
+            sent = [row for row in host.sent if row[0] < host.up + COLD_US]
+            for n, (at, warmth, _) in enumerate(sent):
+                window = [knew for when, _, knew in sent[n:] if when < at + FALL_US]
                 if 3 * sum(window) > 2 * len(window):
-                    most = max(most, len(window) / allowance(budget(host, at)))
+                    most = max(most, len(window) / allowance(budget(host, warmth)))
         return most
 
     def busy(self) -> float:
@@ -334,7 +348,12 @@
         return max(parts)
 
     def failing(self) -> set[str]:
-        """Which do not hold: the allowance over all, of those told, the rule as the pages break it, busy hosts."""
+        """Which do not hold: the allowance over all, of those told, the rule as the pages break it, busy hosts.
+
+        Where none is cold: that nothing is refused.
+        """
+        if not self.cold:
+            return {"refused"} if self.ends["refused"] else set()
         return {name for name, holds in {
             "all": self.worst() <= 1, "told": self.worst(told=True) <= 1, "rule": self.broken() <= 1,
             "busy": self.busy() >= 0.8}.items() if not holds}
@@ -355,6 +374,11 @@
     return at % 2 == 0
 
 
+def other_writers(at: int, host: Host) -> bool:
+    """All but one of them."""
+    return not host.reads and at != 3
+
+
 LATE = (3 * S, 3_500 * MS)  # the list tells of it so long after its start
 SHORT = START_AT + 3 * S
 CASES: dict[str, tuple[Case, tuple[int, ...]]] = {  # and how many dispatchers
@@ -374,6 +398,10 @@
         first, dead=lambda at, host: host.entry.zone == "b", repeats=2, until=SHORT), (30,)),
     "repeats: all others full": (Case(first, full=others, repeats=2, until=SHORT), (30, 200)),
     "a hot text": (Case(first, hot=0.3), (30, 200)),
+    "survivors of a role": (
+        Case(first, dead=other_writers, dead_us=3 * S, rate=2.5, by_work=True, repeats=2), (6, 200)),
+    "warm by work": (Case(half, by_work=True), (6, 200)),
+    "no start at all": (Case(lambda at, host: False, load=0.6, burst=1.0), (6, 200)),
 }
 
 
--- a/tests/crossing_parties.py
+++ b/tests/crossing_parties.py
@@ -352,6 +352,12 @@
             self.stage.unwatch(call.sock)
         self.shut()
 
+    def thaw(self) -> None:
+        """Read what lies in the connections that were open, also in those that were closed meanwhile."""
+        for call in self.connections:
+            if call.sock.fileno() >= 0 and not call.end:
+                self.stage.watch(call.sock, call.readable)
+
     def open(self) -> None:
         self.listener.listen(64)
         self.stage.watch(self.listener, self.accept)
--- a/tests/soak_host.py
+++ b/tests/soak_host.py
@@ -1,5 +1,6 @@
-"""A model host of the soak test as a process of its own: `python -m tests.soak_host NAME ROLE FOLDER ADDRESS PORT`.
+"""A model host of the soak test as a process: `python -m tests.soak_host NAME ROLE FOLDER ADDRESS PORT [RAMP]`.
 
+With RAMP (`time` or `work`) it has just come back, and works more slowly at first. It turns away what waits too long.
 It speaks the platform's protocol and writes what it does to FOLDER/NAME.jsonl, with the machine's monotonic clock. What
 hosts hold is shared as files: FOLDER/states/ID names the reader that holds a state, FOLDER/reads/ID a read that runs.
 Lines on standard input order its troubles. A process that is stopped reads nothing; its machine takes bytes all the
@@ -23,12 +24,15 @@
 
 from tests.crossing_messages import DONE, EVENT, HEAD, LAST, Message, chunk, plain, read_message
 from tests.crossing_parties import SO_TIMESTAMPNS, UNKNOWN_S
+from tests.soak_slow_start import COLD_S, WARM_RATE, warmth
 
 BACKLOG = 2  # connections that come up at a stopped process: later ones hang
 EVENTS = 6
 EVENT_S = 0.02
 LOSE_S = 8.0  # a call that is taken and never answered ends with its connection
 NO_PLACE_PART = 0.1
+WAIT_MOST_S = 0.4  # work that waits for longer is turned away
+LATE_PLACES_PART = 0.5  # of the places whose connection had ended when their call was read: they are held all the same
 
 
 class ConnectionEnded(Exception):
@@ -38,7 +42,10 @@
 class SoakHost:
     """One host."""
 
-    def __init__(self, name: str, role: str, folder: Path, address: str, port: int) -> None:
+    def __init__(self, name: str, role: str, folder: Path, address: str, port: int, ramp: str = "") -> None:
+        self.started = monotonic() if ramp else -COLD_S
+        self.done = 0 if ramp == "work" else None
+        self.free_at = 0.0  # when the work that it has taken on is done
         self.name, self.role, self.folder = name, role, folder
         self.log = open(folder / f"{name}.jsonl", "a", buffering=1)  # noqa: SIM115
         self.lock = threading.Lock()
@@ -102,8 +109,9 @@
 
     def _call(self, sock: socket.socket, message: Message, first: float, arrived: float) -> None:
         method, target = message.start.split()[:2]
-        if ended(sock):  # by the time it is read its dispatcher has given it up
-            raise ConnectionEnded
+        asks_place = b"/rooms/" in target and method == b"POST"
+        if ended(sock) and not (asks_place and self.random.random() < LATE_PLACES_PART):
+            raise ConnectionEnded  # by the time it is read its dispatcher has given it up
         if b"/rooms/" in target:
             (self._free if method == b"DELETE" else self._place)(sock, target.rpartition(b"/")[2])
             return
@@ -151,10 +159,22 @@
         sock.sendall(plain(status, b"", *([b"srv-declined: 1"] if status != 500 else [])))
 
     def _refusal(self) -> int:
-        if self.troubled("decline"):
+        if self.troubled("decline") or not self._room():
             return 503
         return 500 if self.troubled("error") else 0
 
+    def _room(self) -> bool:
+        """Take one more piece of work on, if it need not wait for too long."""
+        with self.lock:
+            now = monotonic()
+            begins = max(self.free_at, now)
+            if begins - now > WAIT_MOST_S:
+                return False
+            capacity = WARM_RATE[self.role] * warmth(self.role, now - self.started, self.done)
+            self.free_at = begins + 1 / capacity
+            self.done = None if self.done is None else self.done + 1
+            return True
+
     def _work(self, sock: socket.socket) -> None:
         wait(sock, self.random.uniform(0.005, 0.06) + (0.3 if self.troubled("slow") else 0.0))
 
@@ -238,6 +258,7 @@
 
 
 if __name__ == "__main__":
-    host = SoakHost(sys.argv[1], sys.argv[2], Path(sys.argv[3]), sys.argv[4], int(sys.argv[5]))
+    host = SoakHost(sys.argv[1], sys.argv[2], Path(sys.argv[3]), sys.argv[4], int(sys.argv[5]),
+                    *sys.argv[6:])
     print(host.listener.getsockname()[1], flush=True)
     host.run()
--- a/tests/soak_parties.py
+++ b/tests/soak_parties.py
@@ -9,23 +9,30 @@
 import signal
 import subprocess
 import sys
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
-from time import monotonic
+from time import monotonic, time
 from typing import Any
 
 from tests.crossing_ledger import Ledger, Request, request
 from tests.crossing_messages import plain, read_message
 from tests.crossing_parties import HERE
 from tests.crossings import ALLOWED, SETTINGS
+from tests.soak_slow_start import OBLIGATIONS, ColdStart
 
 ROOT = Path(__file__).parent.parent
 RELEASE_S, GRACE_S = SETTINGS["family-info"]["let-go-by-us"] / 1e6, SETTINGS["obligations"]["drain-grace-us"] / 1e6
-GIVE_UP_MS = 3_000
+DEADLINES_MS = (3_000, 3_000, 1_500, 700)  # of a run's requests: one is drawn
 START_S = 20.0
 ORDERS_PART, LEAVE_PART = 0.4, 0.05
 PLACES_PART, RESUME_PART = 0.7, 0.6  # of the runs: places are asked ahead; clients ask for the rest of a stream
+RETRIES_PART, CROWD_PART = 0.6, 0.2  # of the runs: clients try again at once; idle clients crowd the dispatchers
+RETRIES_MOST = 2
+BY_WORK_PART = 0.5  # of the runs: cold hosts warm by their work, not by time
+CROWD, SOCKETS = 420, 512  # idle connections to each dispatcher; what it may have
+LISTED_LATE_S = 1.5  # a host's start is told by the list so much later at most
 
 
 @dataclass
@@ -38,6 +45,7 @@
     clients: int = 5  # of each dispatcher
     seconds: float = 20.0
     faults: int = 24
+    cold_returns: int = 2  # faults in which hosts come back cold while the others of their role are in trouble
 
 
 @dataclass
@@ -61,10 +69,14 @@
     process: subprocess.Popen[bytes]
     port: int
     phase: str = "Ready"
+    up_since_ms: int = 0
+    listed_from: float = 0.0  # since when the list tells its last start
+    listed_before_ms: int = 0  # the start that it tells until then
 
     def entry(self) -> dict[str, Any]:
         return {"id": self.name, "host_port": f"{HERE}:{self.port}", "locality": "a", "cell": 1, "phase": self.phase,
-                "flavor": "reads" if self.role == "read" else "writes", "size": 1.0, "up_since_ms": 0}
+                "flavor": "reads" if self.role == "read" else "writes", "size": 1.0,
+                "up_since_ms": self.up_since_ms if monotonic() >= self.listed_from else self.listed_before_ms}
 
     def order(self, kind: str, seconds: float = 0.0) -> None:
         assert self.process.stdin is not None
@@ -81,12 +93,22 @@
         self.random = Random(seed)
         self.family = {"holds-allowed": self.random.random() < PLACES_PART,
                        "resume": self.random.random() < RESUME_PART}
+        self.deadline_ms = self.random.choice(DEADLINES_MS)
+        self.retries = RETRIES_MOST if self.random.random() < RETRIES_PART else 0
+        self.crowded = self.random.random() < CROWD_PART
+        self.warm_by_work = self.random.random() < BY_WORK_PART
+        self.cold_starts: list[ColdStart] = []
+        self.burst_until = 0.0
+        self.shut_unread = 0  # new connections that were shut in a crowd, as the pages allow then
+        self.injected: Counter[str] = Counter()
+        self.crowds: list[asyncio.StreamWriter] = []
         self.hosts: dict[str, SoakHost] = {}
         self.lives: list[Life] = []
         self.current: dict[str, Life] = {}
         self.ports: dict[str, int] = {}
         self.agents: dict[str, str] = {}
         self.servers: list[asyncio.Server] = []
+        self.down: set[str] = set()  # hosts that are dead just now
         self.revision = 1
         self.silent_until = 0.0  # of all agents
         self.silent: dict[str, float] = {}  # hosts that are stopped, or whose connections are silent, and until when
@@ -104,20 +126,25 @@
 
     # --- processes
 
-    def start_host(self, name: str, role: str, port: int = 0) -> None:
+    def start_host(self, name: str, role: str, port: int = 0, cold: bool = False) -> None:
         argv = [sys.executable, "-m", "tests.soak_host", name, role, str(self.folder), HERE, str(port)]
-        process = subprocess.Popen(argv, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        ramp = "work" if self.warm_by_work else "time"
+        process = subprocess.Popen(argv + [ramp] * cold, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
         assert process.stdout is not None
         self.hosts[name] = SoakHost(name, role, process, int(process.stdout.readline()))
+        if cold:
+            self.cold_starts.append(ColdStart(name, role, monotonic(), self.warm_by_work))
+            self.hosts[name].up_since_ms = round(time() * 1_000)
 
     def start_dispatcher(self, name: str) -> None:
         config = self.folder / f"{name}.json"
-        services = [{"name": kind, "goal-time-us": GIVE_UP_MS * 500, "give-up-us": GIVE_UP_MS * 1_000,
+        services = [{"name": kind, "goal-time-us": self.deadline_ms * 500, "give-up-us": self.deadline_ms * 1_000,
                      "idempotency": effect} for kind, effect in (("ask", "free"), ("order", "single_shot"))]
         settings = {**SETTINGS, "services": services, "allowed": ALLOWED, "instances": self.plan.dispatchers,
+                    "obligations": {**SETTINGS["obligations"], **OBLIGATIONS},
                     "family-info": {**SETTINGS["family-info"], **self.family}}
         config.write_text(json.dumps({"settings": settings, "discovery": self.agents[name],
-                                      "limits": {"sockets": 512}, "known": self.listed()}))
+                                      "limits": {"sockets": SOCKETS}, "known": self.listed()}))
         env = {**os.environ, "ROUTER_NAME": name, "ROUTER_LISTEN": f"{HERE}:{self.ports[name]}",
                "ROUTER_DISCOVERY": self.agents[name], "ROUTER_CONFIG": str(config), "PYTHONPATH": str(ROOT)}
         log = self.folder / f"{name}-{len(self.lives)}.log"
@@ -180,22 +207,26 @@
             finally:
                 writer.close()
 
+    async def crowd(self, name: str) -> None:
+        """Idle clients that keep their connections for as long as they may."""
+        for _ in range(CROWD):
+            with contextlib.suppress(OSError):
+                self.crowds.append((await asyncio.open_connection(HERE, self.ports[name]))[1])
+
     async def _connection(self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
                           draw: Random) -> None:
-        life, kept = self.current[name], False
+        life, kept, tries_left = self.current[name], False, self.retries
+        again = False
         while not self.ended:
-            await asyncio.sleep(draw.uniform(0.0, 0.12))
+            if not again and monotonic() >= self.burst_until:
+                await asyncio.sleep(draw.uniform(0.0, 0.12))
             if self.ended or reader.at_eof():
                 return
-            self._requests += 1
-            r = request(f"{name}.{self._requests}", "order" if draw.random() < ORDERS_PART else "ask", GIVE_UP_MS,
-                        key=f"k{draw.randrange(40)}")
-            r.asked, r.written = monotonic(), len(r.data)
-            life.ledger.requests.append(r)
+            r = self._request(name, life, draw, again)
             leaves = draw.random() < LEAVE_PART
             try:
                 writer.write(r.data)
-                async with asyncio.timeout(draw.uniform(0.0, 0.4) if leaves else GIVE_UP_MS / 1_000 + 20.0):
+                async with asyncio.timeout(draw.uniform(0.0, 0.4) if leaves else self.deadline_ms / 1_000 + 20.0):
                     done = await self._answer(life, r, reader, kept)
             except TimeoutError:
                 r.left = monotonic()  # the connection is closed now
@@ -206,6 +237,17 @@
             if not done:
                 return
             kept = True
+            again = tries_left > 0 and r.answers[0][1].status != 200
+            tries_left = tries_left - 1 if again else self.retries
+
+    def _request(self, name: str, life: Life, draw: Random, again: bool) -> Request:
+        """The next request of a client, noted in the ledger of its dispatcher's life."""
+        self._requests += 1
+        r = request(f"{name}.{self._requests}", "order" if draw.random() < ORDERS_PART else "ask", self.deadline_ms,
+                    headers=(b"Req-Retry: 1",) if again else (), key=f"k{draw.randrange(40)}")
+        r.asked, r.written = monotonic(), len(r.data)
+        life.ledger.requests.append(r)
+        return r
 
     async def _answer(self, life: Life, r: Request, reader: asyncio.StreamReader, kept: bool) -> bool:
         """Whether a whole answer came, after which the connection is used on."""
@@ -227,12 +269,17 @@
             r.left = monotonic()
         elif kept:
             r.late = True
+        elif self.crowded:  # a new connection may be shut unread then
+            r.late = True
+            self.shut_unread += 1
         else:
             life.ledger.seen.append(f"{r.id.decode()}: {how} on a new connection, without an answer")
 
     # --- the end
 
     async def close_agents(self) -> None:
+        for writer in self.crowds:
+            writer.close()
         for server in self.servers:
             server.close()
         await asyncio.sleep(0.01)
--- a/tests/test_held_silent_hosts.py
+++ b/tests/test_held_silent_hosts.py
@@ -15,6 +15,7 @@
 from tests.crossings import RELEASE_S, Stage
 
 BATCHES_MOST = 10
+LATE_S = 1.0  # until a stopped host reads again
 REST_S = 0.03  # after its last answer a connection is used again
 
 
@@ -114,3 +115,23 @@
     stage.call("write", "a").serve()
     assert client.answer().status == 200
     stage.check()
+
+
+def test_a_place_whose_call_is_read_late_is_let_go_of(stage: Stage) -> None:
+    """A stopped host reads on its return what lies in its connections, though their other end was closed long ago."""
+    client = with_kept_connections(stage, 1)
+    client.ask("a")
+    stage.call("read", "a")
+    held = stage.number("a").encode()
+
+    def freed() -> int:
+        return sum(kind == "freed" and number == held for _, kind, number in stage.ledger.moves)
+
+    client.leave("close")
+    stage.until("the words that let go", lambda: freed() > 1)
+    stage.at(monotonic() + LATE_S)
+    stage.host("write").thaw()
+    stage.until("the call that lay there", lambda: ("placed", held) in [row[1:] for row in stage.ledger.moves])
+    said = freed()
+    stage.until("a word that lets go of it", lambda: freed() > said)
+    stage.check()
