Say a release again while a call may lie unread; ask hosts unlike those that failed

A server that reads on its return what lies in its connections then holds a place that nobody lets go of.

Change: core/request/unread_calls.py remembers calls without a word of their server; the release is said again every 0.75 of the release time until the server was heard, once more after that, 10 s at most. Such a release is a precaution: not hearing it is no violation. From the second round on the hosts asked differ in role and zone from each other and from those that failed. A server whose attempt was called off counts as silent.

Class: a proof that holds for one moment (the word was heard) taken for one that holds from then on.

Whole suite not run yet.

--- a/yardspindle/core/request/commands.py
+++ b/yardspindle/core/request/commands.py
@@ -62,6 +62,14 @@
     place: int
 
 
+@dataclass(frozen=True, slots=True)
+class CallUnread:
+    """A call that was written to a server may lie unread there, and be acted on later."""
+
+    request: int
+    server: Server
+
+
 @dataclass(frozen=True, slots=True)
 class ReleaseState:
     """Let go of the state that an attempt's read left at a reader, or may yet leave."""
@@ -174,5 +182,5 @@
     text: str
 
 
-Command = (Read | Write | AskPlace | AbortPlace | ReleaseState | ReleasePlace | ReleaseAll | Abort | LastWords | Answer
-           | CloseIdle | TellPlanner | Warn | Release | Free | Broken)
+Command = (Read | Write | AskPlace | AbortPlace | CallUnread | ReleaseState | ReleasePlace | ReleaseAll | Abort
+           | LastWords | Answer | CloseIdle | TellPlanner | Warn | Release | Free | Broken)
--- a/yardspindle/core/request/edge_core.py
+++ b/yardspindle/core/request/edge_core.py
@@ -16,6 +16,7 @@
 from yardspindle.core.request.releases import Owed, Releases, Thing
 from yardspindle.core.request.rooms import Room, Rooms
 from yardspindle.core.request.rules import RuleWatch
+from yardspindle.core.request.unread_calls import UnreadCalls
 
 
 class EdgeCore:
@@ -27,6 +28,7 @@
         self.watch = RuleWatch(rules)
         self.releases = Releases()
         self.rooms = Rooms(seed)
+        self.unread = UnreadCalls(rules.release_us)
 
     @property
     def epoch(self) -> int:
@@ -35,8 +37,13 @@
 
     @property
     def busy(self) -> bool:
+        """Whether a request is open or a release is owed."""
+        return bool(self.life.open or self.releases.owed or self.rooms.owed)
+
+    @property
+    def needs_time(self) -> bool:
         """Whether time has to be looked at."""
-        return bool(self.life.open) or bool(self.releases.owed) or bool(self.rooms.owed)
+        return self.busy or bool(self.unread.requests)
 
     def counts(self) -> dict[str, int]:
         """What was taken, how it ended, what was stopped by itself, and the rules found broken, since the start."""
@@ -124,9 +131,22 @@
         """The call for a place is about to be written; whether it may be. From now on the place may be held."""
         if not self.watch.place_asked(now_us, request, number, self.life.directory.servers.get(server.number)):
             return False
-        self.life.place_asked(now_us, request, number)
+        self.life.place_asked(now_us, request, number, server)
         return True
 
+    def server_heard(self, now_us: int, server: int) -> None:
+        """A server answered something."""
+        self.rooms.heard(now_us, server)
+        self.unread.heard(now_us, server)
+
+    def server_silent(self, now_us: int, server: int) -> None:
+        """A server did not come up, broke off, or did not answer."""
+        self.rooms.silent(now_us, server)
+
+    def remembers(self, request: int) -> bool:
+        """Whether a release of a request is owed, or will be said again."""
+        return request in self.rooms.owed or request in self.unread.requests
+
     def freeing(self, room: Room) -> bool:
         """Whether a release whose first byte is about to be written is owed, and takes nothing from an attempt."""
         return self.rooms.owed.get(room.request) is room and self.watch.releasing(room.request)
@@ -143,6 +163,8 @@
 
     def tick(self, now_us: int) -> list[c.Command]:
         """Look at the clock."""
+        for request in self.unread.take_due(now_us, self.life.open.keys()):
+            self.rooms.say_again(now_us, request)
         commands = self._out(now_us, self.life.tick(now_us))
         self.watch.check_time(now_us)
         for room in self.rooms.take_overdue(now_us, self.life.rules.release_us):
@@ -159,6 +181,8 @@
         """An engine let go of all that was held for a request, or was not heard, or (None) not asked; `late`: it had
         been overdue.
         """
+        if heard:
+            self.unread.heard(now_us, server)
         if late:
             self.rooms.settled_late(now_us, room, server, bool(heard))
         else:
@@ -188,6 +212,11 @@
                     self.releases.owe(now_us, server, Thing.PLACE, request, place)
                 case c.ReleaseAll(request, again):
                     self.rooms.owe(now_us, request, again)
+                case c.CallUnread(request, server):
+                    self.unread.add(now_us, request, server.number)
+                case c.Abort(reason=c.AbortReason.UNANSWERED | c.AbortReason.NOT_CONNECTED):
+                    self.rooms.silent(now_us, command.server.number)
+                    out.append(command)
                 case _:
                     out.append(command)
         return [*out, *self._due(now_us), *self._broken()]
--- a/yardspindle/core/request/ends.py
+++ b/yardspindle/core/request/ends.py
@@ -67,6 +67,7 @@
         if out.written:
             r.ran = r.ran or may_have_run(out.server.role, i.Status.CANCELLED)
         self._commands.append(c.Abort(r.ask.request, out.number, out.server, reason))
+        self._may_lie_unread(r, out)
         if not r.streaming:
             self._untaken(now_us, r, out)
         if out.server.role is i.Role.READ and self.rules.release_whole:
@@ -79,6 +80,11 @@
         self._tell(r, i.Outcome(r.ask.request, out.number, out.server.number, i.Status.CANCELLED,
                                 now_us - out.sent_us, r.final is not None))
 
+    def _may_lie_unread(self, r: Open, out: Attempt) -> None:
+        """An attempt is over without a word of its server: it may be read there later."""
+        if self.rules.release_whole and out.written and not out.taken:
+            self._commands.append(c.CallUnread(r.ask.request, out.server))
+
     def _hold(self, now_us: int, r: Open) -> None:
         """Something may be held for it from now on, unless it is already."""
         if not r.held:
@@ -115,8 +121,9 @@
 
     def _stop_asking(self, r: Open) -> None:
         """A place whose answer is awaited may come to be held after the word: it is called off, and that said again."""
-        for place in sorted(r.asking):
+        for place, server in sorted(r.asking.items()):
             self._commands.append(c.AbortPlace(r.ask.request, place))
+            self._commands.append(c.CallUnread(r.ask.request, server))
             r.unsure = True
         r.asking.clear()
 
--- a/yardspindle/core/request/holds.py
+++ b/yardspindle/core/request/holds.py
@@ -56,20 +56,22 @@
         server = self.directory.servers.get(r.place.server.number)
         return server is not None and server.closed_us is None and self._as_connected(server, r.place.server)
 
-    def place_asked(self, now_us: int, request: int, number: int) -> None:
+    def place_asked(self, now_us: int, request: int, number: int, server: Server) -> None:
         """The call for a place is being written: from now on it may be held, whatever is answered."""
         r = self.open.get(request)
         if r is not None:
-            r.asking.add(number)
+            r.asking[number] = server
             self._hold(now_us, r)
 
     def place_answered(self, now_us: int, request: int, number: int, server: Server,
                        held: bool | None) -> list[c.Command]:
         """A writer said yes or no to a place, or (None) was not heard; a place nobody wants is let go."""
         r = self.open.get(request)
+        if held is None and self.rules.release_whole:
+            self._commands.append(c.CallUnread(request, server))
         place = r.place if r is not None else None
         if r is not None:
-            r.asking.discard(number)
+            r.asking.pop(number, None)
         if r is None or place is None or place.number != number:
             self._place_too_late(now_us, r, request, number, server, held)
             return self._take()
@@ -131,6 +133,7 @@
             if r.place is not None and not r.place.held:
                 self._commands.append(c.CloseIdle(r.place.server))
         r.out = None
+        self._may_lie_unread(r, out)
         status = i.Status.TIMEOUT if out.written else i.Status.CONNECT_FAILED
         if out.server.role is i.Role.READ:
             r.unsure = r.unsure or out.written  # it may end well just as it is called off
--- a/yardspindle/core/request/lifecycle.py
+++ b/yardspindle/core/request/lifecycle.py
@@ -239,6 +239,8 @@
         if out.taken or status in PROVES_TAKEN:
             r.held_since_us = now_us
         r.ran = r.ran or may_have_run(out.server.role, status)
+        if status is i.Status.TIMEOUT:
+            self._may_lie_unread(r, out)
         if status is i.Status.READ:
             r.state, r.state_at, r.state_attempt, r.held = state, out.server, number, True
         elif out.server.role is i.Role.READ and self.rules.release_whole:
--- a/yardspindle/core/request/open.py
+++ b/yardspindle/core/request/open.py
@@ -76,7 +76,7 @@
     state_at: Server | None = None
     place: Place | None = None
     places: int = 0
-    asking: set[int] = field(default_factory=set)  # places that were asked for, whose answers are awaited
+    asking: dict[int, Server] = field(default_factory=dict)  # places asked for, whose answers are awaited, and where
     held: bool = False  # `release_whole`: a state or place may be held for it somewhere
     unsure: bool = False  # and a read's connection was closed without its word: its state may come after a release
     held_since_us: int = 0  # since when what is held waits for an attempt that a running server is known to have
--- a/yardspindle/core/request/rooms.py
+++ b/yardspindle/core/request/rooms.py
@@ -12,10 +12,10 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from hashlib import blake2b
-from heapq import nsmallest
 
 from yardspindle.core.hosts.directory import Server
 from yardspindle.interface import State
@@ -23,7 +23,7 @@
 AT_ONCE_MOST = 64  # words out at a time, so that a dead fleet does not draw a task for each request
 LATE_MOST = 16  # calls that others are asked beside: a host may be slow to accept, but a dead fleet says nothing
 AGAIN_US = 120_000  # a read's end that crossed with our closing has come by then, and the rule's time has not
-MORE_AT_ONCE = 3  # engines asked together after one that was silent: with half of them cut off one in eight fails
+MORE_AT_ONCE = 3  # engines asked together once one was silent: with half of them cut off one in eight fails
 TRIES_AT_ONCE = 10  # engines asked without a pause, in four rounds; the rule gives 300 ms in all
 PAUSE_US = 100_000
 LAPSE_US = 10_000_000  # engines let go by themselves; a day later nobody could be told anyway
@@ -41,6 +41,7 @@
     tried: list[int] = field(default_factory=list)  # engines that did not answer, in order
     heard: bool = False  # an engine has let go at least once
     said: int = 0  # how many times an engine has
+    precaution: bool = False  # nothing is known to be held: a call that lies unread may come to hold something
     overdue: bool = False  # and this was told, as none had in time
 
 
@@ -77,15 +78,23 @@
         known = self.owed.get(request)
         if known is None:
             self.owed[request] = Room(request, now_us, now_us, again)
-        elif known.out:
+            return
+        if known.precaution:
+            known.precaution, known.since_us = False, now_us
+        if known.out:
             known.again = True  # the word that is out may have come before what is meant now
         else:
             known.due_us, known.again = now_us, known.again or again
 
+    def say_again(self, now_us: int, request: int) -> None:
+        """A release is said once more, as a call may have been read since."""
+        if request not in self.owed:
+            self.owed[request] = Room(request, now_us, now_us, again=False, precaution=True)
+
     def take_overdue(self, now_us: int, limit_us: int) -> list[Room]:
         """Those that no engine has heard for so long, each once."""
         late = [room for room in self.owed.values()
-                if not room.heard and not room.overdue and now_us - room.since_us > limit_us]
+                if not room.heard and not room.overdue and not room.precaution and now_us - room.since_us > limit_us]
         for room in late:
             room.overdue = True
         return late
@@ -109,10 +118,28 @@
         return due
 
     def _ask(self, room: Room, servers: Mapping[int, Server]) -> list[Server]:
-        known = (server for server in servers.values() if server.state is not State.GONE)
-        return nsmallest(MORE_AT_ONCE if room.tried else 1, known, key=lambda s: (
-            room.tried.count(s.number), self._silent.get(s.number, 0), -self._heard.get(s.number, 0),
-            blake2b(b"%d %d" % (self._seed, s.number), digest_size=8).digest()))
+        """Whom to ask now: one, or some that are unlike each other and those that did not answer.
+
+        Servers fall silent by role or by zone. Those that were heard last may all be of the part that just did, and
+        each round costs a quarter of the rule's time.
+        """
+        known = [server for server in servers.values() if server.state is not State.GONE]
+        alike = Counter[object]()
+        for number in room.tried:
+            if number in servers:
+                alike.update(_parts(servers[number]))
+        chosen: list[Server] = []
+        for _ in range(min(MORE_AT_ONCE if room.tried else 1, len(known))):
+            server = min((s for s in known if s not in chosen), key=lambda s: self._order(room, alike, s))
+            chosen.append(server)
+            alike.update(_parts(server))
+        return chosen
+
+    def _order(self, room: Room, alike: Counter[object], server: Server) -> tuple[object, ...]:
+        """In which order servers are asked: first those that did not fail us, of parts that did not."""
+        return (room.tried.count(server.number), self._silent.get(server.number, 0),
+                sum(alike[part] for part in _parts(server)), -self._heard.get(server.number, 0),
+                blake2b(b"%d %d" % (self._seed, server.number), digest_size=8).digest())
 
     def settled(self, now_us: int, room: Room, server: int, heard: bool | None) -> None:
         """An engine let go, or was not heard; None: it was not asked, for want of a descriptor."""
@@ -156,3 +183,8 @@
             room.tried.clear()
         else:
             del self.owed[room.request]
+
+
+def _parts(server: Server) -> tuple[object, ...]:
+    """What a server may fail with: its role, its zone."""
+    return server.role, server.zone
--- /dev/null
+++ b/yardspindle/core/request/unread_calls.py
@@ -0,0 +1,63 @@
+"""Calls that may lie unread at a server, though their connection was closed: what they leave there is let go of again.
+
+A server that was stopped or cut off reads on its return what had been written to it, and may act on it: it holds a
+place, or reads a prompt, for a request that ended long ago. The release that was said then came too early. So it is
+said again, often enough for the rule's time, until the server was heard once more, and one more time after that.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+AFTER_HEARD_US = 120_000  # what lies in other connections of a server that answers again is read by then
+LAPSE_US = 10_000_000  # engines let go by themselves before this
+CALLS_MOST = 5_000  # requests that are remembered; past it the oldest goes
+PERIOD_PART = 0.75  # of the release time, from one release to the next
+
+
+@dataclass(slots=True)
+class UnreadCall:
+    """What may lie unread for one request."""
+
+    since_us: int
+    due_us: int
+    servers: set[int] = field(default_factory=set)
+
+
+class UnreadCalls:
+    """The requests whose calls may lie unread somewhere."""
+
+    def __init__(self, release_us: int) -> None:
+        """None does; `release_us`: in what time that which is held has to be let go of."""
+        self._period_us = round(PERIOD_PART * release_us)
+        self.requests: dict[int, UnreadCall] = {}
+
+    def add(self, now_us: int, request: int, server: int) -> None:
+        """A call was written to a server, which gave no word of it, and its connection is closed."""
+        call = self.requests.setdefault(request, UnreadCall(now_us, now_us + self._period_us))
+        call.servers.add(server)
+        if len(self.requests) > CALLS_MOST:
+            del self.requests[next(iter(self.requests))]
+
+    def heard(self, now_us: int, server: int) -> None:
+        """A server answers: what lay unread there is read in these moments."""
+        for call in self.requests.values():
+            if server in call.servers:
+                call.servers.discard(server)
+                if not call.servers:
+                    call.due_us = now_us + AFTER_HEARD_US
+
+    def take_due(self, now_us: int, running: Collection[int]) -> list[int]:
+        """The requests whose release is to be said again now; those that run are let go of as a whole at their end."""
+        due = []
+        for request, call in list(self.requests.items()):
+            if call.due_us > now_us:
+                continue
+            call.due_us = now_us + self._period_us
+            if request in running:
+                continue
+            due.append(request)
+            if not call.servers or now_us - call.since_us >= LAPSE_US:
+                del self.requests[request]
+        return due
--- a/yardspindle/node/app.py
+++ b/yardspindle/node/app.py
@@ -125,7 +125,7 @@
         while True:
             now = self.world.now_us()
             self.world.sleep_until(now + TICK_US)
-            if self.core.busy:
+            if self.core.needs_time:
                 self.executor.perform(self.core.tick(self.world.now_us()))
             if now - kept_us > HOUSEKEEPING_US:
                 kept_us = now
--- a/yardspindle/node/executor.py
+++ b/yardspindle/node/executor.py
@@ -137,7 +137,7 @@
                 log.line("interlock", rule=rule, id=self._name(request))
             case c.Broken(rule, request, text):
                 log.line("rule broken", rule=rule, text=text, id=self._name(request))
-            case c.ReleaseState() | c.ReleasePlace() | c.ReleaseAll() | c.Release():
+            case c.ReleaseState() | c.ReleasePlace() | c.ReleaseAll() | c.Release() | c.CallUnread():
                 raise AssertionError("a release that the core did not take in hand")
 
     def _name(self, request: int) -> str:
@@ -156,9 +156,9 @@
             return
         run.attempts.pop(command.attempt, None)
         if ended.status in (i.Status.CONNECT_FAILED, i.Status.RESET) and not ended.ours:
-            self._core.rooms.silent(self._world.now_us(), command.server.number)
+            self._core.server_silent(self._world.now_us(), command.server.number)
         elif ended.status in PROVES_TAKEN or ended.status is i.Status.CANCELLED:  # it streamed, and its client left
-            self._core.rooms.heard(self._world.now_us(), command.server.number)
+            self._core.server_heard(self._world.now_us(), command.server.number)
         if ended.status is i.Status.READ:
             run.trace.read(self._world.now_us(), ended.note)
         if ended.status not in (i.Status.READ, i.Status.SERVED):
@@ -346,7 +346,7 @@
 
     def forget(self, request: int) -> None:
         """Drop the id of a request that neither runs nor is being let go of."""
-        if request not in self.running and request not in self._core.rooms.owed:
+        if request not in self.running and not self._core.remembers(request):
             self.ids.pop(request, None)
 
 
