Bound what a cold server is sent by homes and counts over all that are listed

One home a stage, worked out from all that are listed; others as much again at most, counted; once a request; a surge over the usual rate shrinks the part. A listed start that a stepped clock makes impossible counts as now. Calls for places that were given up without an answer are remembered on to the end of their time.

--- a/benchmarks/slow_start.py
+++ b/benchmarks/slow_start.py
@@ -16,7 +16,7 @@
 import random
 from itertools import accumulate
 
-from yardspindle.policy.hosts import SLOW_START_PART
+from yardspindle.policy.slow_start import SLOW_START_PART
 
 STEPS = 200
 CHANCE = 1e-3  # of one fall among all hosts that are cold at once
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -169,6 +169,7 @@
             life.killed = monotonic()
             life.process.kill()
         life.process.wait()
+        life.ended = monotonic()
         self.start_dispatcher(name)
         await self.ready(name)
 
--- a/tests/soak_parties.py
+++ b/tests/soak_parties.py
@@ -58,6 +58,7 @@
     log: Path
     told: dict[str, float] = field(default_factory=dict)  # hosts that were told to drain, and when
     killed: float | None = None  # by SIGKILL
+    ended: float | None = None  # its process had
 
 
 @dataclass
--- a/yardspindle/core/request/commands.py
+++ b/yardspindle/core/request/commands.py
@@ -64,10 +64,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CallUnread:
-    """A call that was written to a server may lie unread there, and be acted on later."""
+    """A call that was written to a server may lie unread there, and be acted on later.
+
+    `silent`: its connection brought nothing for longer than a server that reads it takes, whatever others bring.
+    """
 
     request: int
     server: Server
+    silent: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/yardspindle/core/request/edge_core.py
+++ b/yardspindle/core/request/edge_core.py
@@ -212,8 +212,8 @@
                     self.releases.owe(now_us, server, Thing.PLACE, request, place)
                 case c.ReleaseAll(request, again):
                     self.rooms.owe(now_us, request, again)
-                case c.CallUnread(request, server):
-                    self.unread.add(now_us, request, server.number)
+                case c.CallUnread(request, server, silent):
+                    self.unread.add(now_us, request, server.number, silent)
                 case c.Abort(reason=c.AbortReason.UNANSWERED | c.AbortReason.NOT_CONNECTED):
                     self.rooms.silent(now_us, command.server.number)
                     out.append(command)
--- a/yardspindle/core/request/ends.py
+++ b/yardspindle/core/request/ends.py
@@ -80,10 +80,10 @@
         self._tell(r, i.Outcome(r.ask.request, out.number, out.server.number, i.Status.CANCELLED,
                                 now_us - out.sent_us, r.final is not None))
 
-    def _may_lie_unread(self, r: Open, out: Attempt) -> None:
+    def _may_lie_unread(self, r: Open, out: Attempt, silent: bool = False) -> None:
         """An attempt is over without a word of its server: it may be read there later."""
         if self.rules.release_whole and out.written and not out.taken:
-            self._commands.append(c.CallUnread(r.ask.request, out.server))
+            self._commands.append(c.CallUnread(r.ask.request, out.server, silent))
 
     def _hold(self, now_us: int, r: Open) -> None:
         """Something may be held for it from now on, unless it is already."""
@@ -121,9 +121,11 @@
 
     def _stop_asking(self, r: Open) -> None:
         """A place whose answer is awaited may come to be held after the word: it is called off, and that said again."""
-        for place, server in sorted(r.asking.items()):
-            self._commands.append(c.AbortPlace(r.ask.request, place))
-            self._commands.append(c.CallUnread(r.ask.request, server))
+        for number, place in sorted(r.asking.items()):
+            self._commands.append(c.AbortPlace(r.ask.request, number))
+            # A writer that reads such a call answers at once: whatever it answers on other connections, this one may
+            # be silent.
+            self._commands.append(c.CallUnread(r.ask.request, place.server, silent=True))
             r.unsure = True
         r.asking.clear()
 
--- a/yardspindle/core/request/holds.py
+++ b/yardspindle/core/request/holds.py
@@ -13,11 +13,12 @@
 from yardspindle.core.request import commands as c
 from yardspindle.core.request.ends import Ends
 from yardspindle.core.request.evidence import Evidence
-from yardspindle.core.request.open import Attempt, Open, Place
+from yardspindle.core.request.open import AskedPlace, Attempt, Open, Place
 from yardspindle.core.request.proof import may_have_run
 
 PINNED_PART = 0.75  # of the release time: after it the edge lets go itself; the policy acts at half
 CONNECTS_HELD = 2  # writers that can be tried one after another in that time while a state is held
+PLACE_UNKNOWN_US = 450_000  # a writer that knows no read for a place says so after 0.3 s
 NOTHING_HELD = 1  # the note of an attempt after which no state is held any more
 
 
@@ -60,7 +61,7 @@
         """The call for a place is being written: from now on it may be held, whatever is answered."""
         r = self.open.get(request)
         if r is not None:
-            r.asking[number] = server
+            r.asking[number] = AskedPlace(server, now_us)
             self._hold(now_us, r)
 
     def place_answered(self, now_us: int, request: int, number: int, server: Server,
@@ -68,7 +69,9 @@
         """A writer said yes or no to a place, or (None) was not heard; a place nobody wants is let go."""
         r = self.open.get(request)
         if held is None and self.rules.release_whole:
-            self._commands.append(c.CallUnread(request, server))
+            asked = r.asking.get(number) if r is not None else None
+            silent = asked is None or now_us - asked.at_us > PLACE_UNKNOWN_US
+            self._commands.append(c.CallUnread(request, server, silent))
         place = r.place if r is not None else None
         if r is not None:
             r.asking.pop(number, None)
@@ -133,7 +136,7 @@
             if r.place is not None and not r.place.held:
                 self._commands.append(c.CloseIdle(r.place.server))
         r.out = None
-        self._may_lie_unread(r, out)
+        self._may_lie_unread(r, out, silent=True)
         status = i.Status.TIMEOUT if out.written else i.Status.CONNECT_FAILED
         if out.server.role is i.Role.READ:
             r.unsure = r.unsure or out.written  # it may end well just as it is called off
--- a/yardspindle/core/request/open.py
+++ b/yardspindle/core/request/open.py
@@ -58,6 +58,14 @@
     held: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class AskedPlace:
+    """A call for a place that was written, and is not answered."""
+
+    server: Server
+    at_us: int
+
+
 @dataclass(slots=True)
 class Open:
     """A request that was taken and is not done with."""
@@ -76,7 +84,7 @@
     state_at: Server | None = None
     place: Place | None = None
     places: int = 0
-    asking: dict[int, Server] = field(default_factory=dict)  # places asked for, whose answers are awaited, and where
+    asking: dict[int, AskedPlace] = field(default_factory=dict)  # places asked for, whose answers are awaited
     held: bool = False  # `release_whole`: a state or place may be held for it somewhere
     unsure: bool = False  # and a read's connection was closed without its word: its state may come after a release
     held_since_us: int = 0  # since when what is held waits for an attempt that a running server is known to have
--- a/yardspindle/core/request/unread_calls.py
+++ b/yardspindle/core/request/unread_calls.py
@@ -2,7 +2,9 @@
 
 A server that was stopped or cut off reads on its return what had been written to it, and may act on it: it holds a
 place, or reads a prompt, for a request that ended long ago. The release that was said then came too early. So it is
-said again, often enough for the rule's time, until the server was heard once more, and one more time after that.
+said again, often enough for the rule's time, until the server was heard once more, and one more time after that. A
+connection that was silent while its server may have answered on others can be read at any time: there the release is
+said on until it lapses.
 """
 
 from __future__ import annotations
@@ -14,6 +16,7 @@
 LAPSE_US = 10_000_000  # engines let go by themselves before this
 CALLS_MOST = 5_000  # requests that are remembered; past it the oldest goes
 PERIOD_PART = 0.75  # of the release time, from one release to the next
+SILENT = -1  # stands for a connection that is silent, whatever its server answers on others
 
 
 @dataclass(slots=True)
@@ -33,10 +36,10 @@
         self._period_us = round(PERIOD_PART * release_us)
         self.requests: dict[int, UnreadCall] = {}
 
-    def add(self, now_us: int, request: int, server: int) -> None:
+    def add(self, now_us: int, request: int, server: int, silent: bool) -> None:
         """A call was written to a server, which gave no word of it, and its connection is closed."""
         call = self.requests.setdefault(request, UnreadCall(now_us, now_us + self._period_us))
-        call.servers.add(server)
+        call.servers.add(SILENT if silent else server)
         if len(self.requests) > CALLS_MOST:
             del self.requests[next(iter(self.requests))]
 
--- a/yardspindle/policy/hosts.py
+++ b/yardspindle/policy/hosts.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 
 from yardspindle import interface as i
-from yardspindle.policy.state import KEY_SPAN_US, LONG_AGO_US, TRIAL_US, Open, Server, State
+from yardspindle.policy.slow_start import SlowStart
+from yardspindle.policy.state import KEY_SPAN_US, LONG_AGO_US, TRIAL_US, Open, Server
 
-SLOW_START_PART = 0.8  # of the requests that a cold server gets for what it can do: room for chance, repeats
+LIST_LATE_US = 6_000_000  # after so long at the latest what discovery has counts as told
+START_MOVED_US = 100_000  # two starts of a server are farther apart; a planner's and an edge's clocks differ
 PULL_MOST = 1.1  # a reader in a cell with many writers gets at most so many times its even part of the keys
 PULL_ROUNDS = 8  # in which the parts of the cells come to add up to one
 
 
-class Hosts(State):
+class Hosts(SlowStart):
     """What this router knows of each server, and whether a request may go there."""
 
     def _members(self, event: i.Members) -> None:
@@ -22,22 +25,38 @@
         named = {entry.server for entry in event.entries}
         for entry, kind in ((e, self.kinds[e.kind]) for e in event.entries if e.kind in self.kinds):
             known = self.servers.setdefault(
-                entry.server, Server(entry, kind.role, kind.memory_tokens, entry.up_since_us or LONG_AGO_US))
-            if entry.up_since_us > known.entry.up_since_us:  # restarted: what we held against it is void
-                known.failures, known.ejected_until, known.since_us = 0, 0, entry.up_since_us
+                entry.server, Server(entry, kind.role, kind.memory_tokens, self._since(entry),
+                                     lot=self.random.random()))
+            moved_us = abs(entry.up_since_us - known.entry.up_since_us)
+            if entry.up_since_us and moved_us > START_MOVED_US:  # restarted: what we held against it is void
+                known.failures, known.ejected_until, known.since_us = 0, 0, self._since(entry)
                 known.refused = 0
                 known.full.clear()
                 known.kept.clear()
             known.entry = entry if entry.units > 0 else replace(entry, units=1e-9)
             known.gone, known.gone_us = entry.state is not i.State.SERVING, self.now
+        if event.list_kind not in (i.ListKind.STALE, i.ListKind.FAILED):
+            self.listed_us = self.now
         if event.list_kind in (i.ListKind.COMPLETE, i.ListKind.STALE):
             for server in [s for n, s in self.servers.items() if n not in named and not s.gone]:
                 server.gone, server.gone_us = True, self.now
         # Where servers are replaced by new ones all day, what is known of the old must not pile up.
         self.servers = {n: s for n, s in self.servers.items() if not s.gone or s.out or s.streams
                         or n in named or self.now - s.gone_us < KEY_SPAN_US}
+        self.listed = Counter(s.role for s in self.servers.values() if not s.gone)
         self._weigh([s for s in self.servers.values() if not s.gone])
 
+    def _since(self, entry: i.Entry) -> int:
+        """When a server that is listed with this start began to serve, by our clock.
+
+        Clocks of machines are stepped: a start that the list before did not tell came after that list, or while
+        it was on its way, and before now. One that tells another time may have come this moment.
+        """
+        if not entry.up_since_us:
+            return LONG_AGO_US
+        likely = self.listed_us - LIST_LATE_US <= entry.up_since_us <= self.now
+        return entry.up_since_us if likely else self.now
+
     def _weigh(self, serving: list[Server]) -> None:  # a cell's part of the reads follows its writers
         units = {s.entry.cell: [0.0, 0.0] for s in serving}
         for s in serving:
@@ -74,32 +93,6 @@
         server.answered_us = max(server.answered_us, sent or LONG_AGO_US)
         server.full.pop(r.ask.tenant, None)
 
-    def _warmth(self, server: Server) -> float:
-        """What part of its capacity a server has surely regained; its ramp is not told: take a line."""
-        age = 0 if server.refused else self.now - server.since_us  # refused: it may be back, freshly started
-        start = self.set.start_capacity
-        return start + (1 - start) * min(max(age, 0) / max(self.set.cold_us, 1), 1.0)
-
-    def _log_slow_start(self, r: Open, server: Server) -> None:
-        """Tell of an attempt that goes to a cold server: the fleet's sum is put together from all routers' logs."""
-        warmth = self._warmth(server)
-        if warmth < 1:
-            self.slow_start_sent += 1
-            age = "unknown" if server.refused else f"{(self.now - server.since_us) // 1_000} ms"
-            self.acts.append(i.Log(f"slow start: request {r.ask.request}, attempt {r.attempts}, to "
-                                   f"{server.entry.server}, age {age}, warmth {warmth:.2f}"))
-
-    def counts(self) -> dict[str, int]:
-        """Counts since the start, by name, for a line of a log."""
-        return {"slow_start_sent": self.slow_start_sent, "slow_start_withheld": self.slow_start_withheld}
-
-    def _fit(self, usable: list[Server], known: int, r: Open) -> list[Server]:
-        """Leave out what is cold, but for the part of the requests that it can do."""
-        part = SLOW_START_PART * len(usable) / max(known, 1)
-        fit = [s for s in usable if (warmth := self._warmth(s)) >= 1 or r.draw < part * warmth]
-        self.slow_start_withheld += len(fit) < len(usable)
-        return fit
-
     def _usable(self, server: Server, r: Open) -> bool:  # not shut (for the tenant), no trial out
         shut = max(server.ejected_until, server.full.get(r.ask.tenant, (0, 0))[0])
         return (not server.gone and self.now >= shut
--- a/yardspindle/policy/life.py
+++ b/yardspindle/policy/life.py
@@ -21,12 +21,13 @@
         cls = self.classes[ask.cls]
         aim = cls.aim_us + cls.aim_us_per_1000_prompt_tokens * ask.prompt_tokens / 1000
         key = ask.prefix or ask.session or str(ask.request)
-        r = self.open[ask.request] = Open(ask, cls, aim, key, self.random.random())
+        self._count_arrival(ask)
+        r = self.open[ask.request] = Open(ask, cls, aim, key, self.random.random() * self._surge())
         self._count_key(key)
         self._start(r)
 
     def _send(self, r: Open, server: Server) -> None:
-        self._log_slow_start(r, server)
+        self._note_send(r, server, r.home_writer if server.role is i.Role.WRITE else r.home_reader)
         server.out[(r.ask.request, r.attempts)] = self.now
         r.out[r.attempts] = server
         r.attempts, r.pinned_us = r.attempts + 1, 0
@@ -82,7 +83,7 @@
     def _next(self, r: Open) -> None:  # after a read, or a writer turned it away
         if self.now >= r.ask.expires_us - self.set.tick_us or r.attempts >= self.set.max_attempts:
             return self._end(r, "time")
-        if r.place is not None and self._usable(r.place, r):
+        if r.place is not None and self._usable(r.place, r) and self._admits(r, r.place, r.home_writer):
             return self._write(r, r.place)
         r.asked.clear()
         if (writer := self._writer(r)) is not None:
--- a/yardspindle/policy/readers.py
+++ b/yardspindle/policy/readers.py
@@ -100,6 +100,7 @@
         order, wide = self._order(r.key), self._width(r.key)
         if wide > 1:  # a session keeps to its reader among them, where its earlier turns are kept
             order = sorted(order[:wide], key=lambda s: self._rank(r.ask.session or "", s)) + order[wide:]
+        r.home_reader = order[0] if order else None
         # Zones are lost whole, and each router finds out host by host: six refusals in as many milliseconds
         # used up a request's attempts in a zone that was gone. Its next read is tried in another zone first.
         order = sorted((s for s in order if self._usable(s, r)), key=lambda s: s.entry.zone in r.unreached)
@@ -110,7 +111,7 @@
             far = order[wide + SPILL:wide + len(order) // self.set.instances]  # few routers know who idles
             order = order[:wide + SPILL] + [s for s in far if not s.out]
         timely = [s for s in order if self._late(s) <= LATE_AIM_PART * r.aim_us]
-        order = self._fit(timely, len(order), r)
+        order = [s for s in timely if self._admits(r, s, r.home_reader)]
         if not order:
             return None
         ahead = [s.tokens + self._new(r, s) for s in order]
--- a/yardspindle/policy/state.py
+++ b/yardspindle/policy/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
 from yardspindle import interface as i
@@ -15,7 +16,7 @@
 LONG_AGO_US = -(1 << 60)  # before any time of the clock
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Server:
     """What this router knows of a server, from the list and from its own attempts."""
 
@@ -37,6 +38,8 @@
     late_us: float = 0.0  # how long a read there last took beyond its own reading, seen when
     late_at: int = 0
     answered_us: int = LONG_AGO_US  # when the latest sent attempt that it has answered was sent
+    lot: float = 0.0  # from 0 to 1, drawn: over which part of a request this router may send it one
+    other_sends: deque[int] = field(default_factory=deque)  # when others than its home requests went there, cold
 
 
 @dataclass(slots=True)
@@ -47,7 +50,7 @@
     cls: i.RequestClass
     aim_us: float
     key: str  # by which its reader is chosen
-    draw: float  # from 0 to 1: which part of the requests it belongs to
+    draw: float  # from 0 to 1, over the surge of the moment: which part of the requests it belongs to
     new: float = 1.0  # tokens that its reader must read, by what it has read for us before
     backlog: float = 0.0  # our tokens at the reader when it was sent there
     waits_us: int = 0  # since when it waits
@@ -60,6 +63,9 @@
     avoid: set[int] = field(default_factory=set)
     unreached: set[str] = field(default_factory=set)  # zones in which a reader could not be connected to
     given_up: set[int] = field(default_factory=set)  # attempts called off; their outcomes are still to come
+    home_reader: Server | None = None  # that it would have if all that are listed served
+    home_writer: Server | None = None  # as well
+    cold_tried: set[int] = field(default_factory=set)  # cold servers that it was sent to
     asked: set[int] = field(default_factory=set)  # writers that had no place for it
 
 
@@ -89,6 +95,11 @@
         self.lossy_us = LONG_AGO_US  # when a break last said nothing of its server, or a request got lost
         self.refused_us = LONG_AGO_US  # when a writer last had no place for us
         self.held = 0.0  # own tokens that take up writers' memory
+        self.arrivals: deque[int] = deque()  # of requests in the last `fall_us`
+        self.listed: Counter[i.Role] = Counter()  # how many servers of a role are listed and serve
+        self.listed_us = LONG_AGO_US  # when the latest list in force was taken
+        self.usual_seen, self.usual_span_us = 0.0, 0.0  # requests that came, and in what time; both fade
+        self.usual_at_us: int | None = None  # when they last did
         self.slow_start_sent = 0  # attempts that were sent to cold servers
         self.slow_start_withheld = 0  # times that a request was kept away from a cold server
         self.sweep_set = False
--- a/yardspindle/policy/writers.py
+++ b/yardspindle/policy/writers.py
@@ -22,6 +22,8 @@
         part *= 1 if self.now - self.refused_us < SHORT_AIMS * self.least_aim else SPARE_TIMES
         if self.held and self.held + r.ask.prompt_tokens > part > 0:
             return None
+        if r.home_writer is None or r.home_writer.gone:
+            r.home_writer = self._home_writer(r, known)
         home = r.reader.entry.cell if r.reader is not None else None
         for cell in () if home is None else (self._cell(r, home), home):
             near = [s for s in known if s.entry.cell == cell]
@@ -29,9 +31,16 @@
                 return writer
         return self._least(known, r)
 
+    def _home_writer(self, r: Open, listed: list[Server]) -> Server | None:
+        """The writer that it would have if all that are listed served: by chance, near its home reader."""
+        readers = self._order(r.key)
+        cell = self._cell(r, readers[0].entry.cell) if readers else None
+        near = [s for s in listed if s.entry.cell == cell] or listed
+        return self.random.choices(near, [s.entry.units for s in near])[0] if near else None
+
     def _least(self, known: list[Server], r: Open) -> Server | None:  # for what each can do now
         usable = [s for s in known if self._usable(s, r) and s.entry.server not in r.asked]
-        fit = self._fit(usable, len(known), r)
+        fit = [s for s in usable if self._admits(r, s, r.home_writer)]
         loads = [(s.streams + 1 + self.random.expovariate(1)) / s.entry.units / self._warmth(s) for s in fit]
         return fit[loads.index(min(loads))] if loads else None
 
