--- a/yardspindle/policy/hosts.py
+++ b/yardspindle/policy/hosts.py
@@ -26,7 +26,7 @@
         for entry, kind in ((e, self.kinds[e.kind]) for e in event.entries if e.kind in self.kinds):
             known = self.servers.setdefault(
                 entry.server, Server(entry, kind.role, kind.memory_tokens, self._since(entry),
-                                     lot=self.random.random()))
+                                     lot=self.lots.random()))
             moved_us = abs(entry.up_since_us - known.entry.up_since_us)
             if entry.up_since_us and moved_us > START_MOVED_US:  # restarted: what we held against it is void
                 known.failures, known.ejected_until, known.since_us = 0, 0, self._since(entry)
@@ -49,8 +49,8 @@
     def _since(self, entry: i.Entry) -> int:
         """When a server that is listed with this start began to serve, by our clock.
 
-        Clocks of machines are stepped: a start that the list before did not tell came after that list, or while
-        it was on its way, and before now. One that tells another time may have come this moment.
+        Clocks of machines are stepped: a start that the list before did not tell came after that list, or
+        while it was on its way, and before now. One that tells another time may have come this moment.
         """
         if not entry.up_since_us:
             return LONG_AGO_US
--- a/yardspindle/policy/slow_start.py
+++ b/yardspindle/policy/slow_start.py
@@ -1,13 +1,14 @@
 """Slow start: which requests a cold server may get, as one sum over routers that know only themselves.
 
-A server that has just started bears, from all routers together, `fall_multiple` times what it can do then. Each
-router therefore bounds its own part by what it knows from its first moment, and by nothing that it sees fail:
-
-- A request may go to its home, the one cold server of a stage that it would have if all that are listed served.
-  So the requests that can reach a server are its even part, however many others are full, dead or cold.
-- Beyond that a router sends a cold server as much again at most, counted one by one over `fall_us`, of what
-  usually comes. Where that is less than one, a part of the routers may send one, by a draw that holds while the
-  server is listed.
+A server that has just started bears, from all routers together, `fall_multiple` times what it can do then.
+Each router therefore bounds its own part by what it knows from its first moment, and by nothing that it sees
+fail:
+
+- A request may go to its home, the one cold server of a stage that it would have if all that are listed
+  served. So the requests that can reach a server are its even part, however many others are full, dead or cold.
+- Beyond that a router sends a cold server half as much again at most, counted one by one over `fall_us`, of what
+  usually comes. Where that is less than one, a part of the routers may send one, by a draw that holds while
+  the server is listed.
 - A request goes there once: what was turned away, or failed, has been sent all the same.
 - Of those requests a part is let through: what the server has surely regained (a line: the ramp is not told).
 - When requests come faster than usual (clients that come again, routers that died), the part shrinks as much.
@@ -20,7 +21,7 @@
 from yardspindle import interface as i
 from yardspindle.policy.state import Open, Server, State
 
-OTHERS = 1.0  # even parts of what usually comes that a cold server may be sent beyond its home requests
+OTHERS = 0.5  # even parts of what usually comes that a cold server may be sent beyond its home requests
 SLOW_START_PART = 0.8  # requests let through for each that a cold server can do: room for chance, uneven keys
 USUAL_SPAN_US = 30_000_000  # over how long the usual rate of requests is taken: storms are shorter
 FIRST_SPAN_US = 4_000_000  # so much of it counts as seen before the start, at the rate that the quotas give
@@ -46,8 +47,8 @@
     def _surge(self) -> float:
         """How many times what servers bear of their home requests came in the last `fall_us`; 1 at least.
 
-        They bear what is left of `fall_multiple` beside the requests of others. One request is never too many:
-        where hundreds of routers see little each, most come alone.
+        They bear what is left of `fall_multiple` beside the requests of others. One request is never too
+        many: where hundreds of routers see little each, most come alone.
         """
         bears = max(self.set.fall_multiple / SLOW_START_PART - OTHERS, 1.0)
         return max(len(self.arrivals) / max(bears * self._usual(), 1.0), 1.0)
--- a/yardspindle/policy/state.py
+++ b/yardspindle/policy/state.py
@@ -39,7 +39,7 @@
     late_at: int = 0
     answered_us: int = LONG_AGO_US  # when the latest sent attempt that it has answered was sent
     lot: float = 0.0  # from 0 to 1, drawn: over which part of a request this router may send it one
-    other_sends: deque[int] = field(default_factory=deque)  # when others than its home requests went there, cold
+    other_sends: deque[int] = field(default_factory=deque)  # when requests of other homes went there
 
 
 @dataclass(slots=True)
@@ -75,6 +75,7 @@
     def __init__(self, settings: i.Settings, seed: int) -> None:
         """Start with nothing but the settings."""
         self.set, self.now, self.random = settings, 0, random.Random(seed)
+        self.lots = random.Random(f"lots {seed}")  # of servers: apart from what requests draw
         self.kinds = {kind.name: kind for kind in settings.kinds}
         self.classes = {cls.name: cls for cls in settings.classes}
         self.servers: dict[int, Server] = {}
--- a/yardspindle/policy/writers.py
+++ b/yardspindle/policy/writers.py
@@ -22,8 +22,6 @@
         part *= 1 if self.now - self.refused_us < SHORT_AIMS * self.least_aim else SPARE_TIMES
         if self.held and self.held + r.ask.prompt_tokens > part > 0:
             return None
-        if r.home_writer is None or r.home_writer.gone:
-            r.home_writer = self._home_writer(r, known)
         home = r.reader.entry.cell if r.reader is not None else None
         for cell in () if home is None else (self._cell(r, home), home):
             near = [s for s in known if s.entry.cell == cell]
@@ -31,8 +29,9 @@
                 return writer
         return self._least(known, r)
 
-    def _home_writer(self, r: Open, listed: list[Server]) -> Server | None:
+    def _home_writer(self, r: Open) -> Server | None:
         """The writer that it would have if all that are listed served: by chance, near its home reader."""
+        listed = [s for s in self.servers.values() if s.role is not i.Role.READ and not s.gone]
         readers = self._order(r.key)
         cell = self._cell(r, readers[0].entry.cell) if readers else None
         near = [s for s in listed if s.entry.cell == cell] or listed
@@ -40,6 +39,8 @@
 
     def _least(self, known: list[Server], r: Open) -> Server | None:  # for what each can do now
         usable = [s for s in known if self._usable(s, r) and s.entry.server not in r.asked]
+        if any(self._warmth(s) < 1 for s in usable) and (r.home_writer is None or r.home_writer.gone):
+            r.home_writer = self._home_writer(r)
         fit = [s for s in usable if self._admits(r, s, r.home_writer)]
         loads = [(s.streams + 1 + self.random.expovariate(1)) / s.entry.units / self._warmth(s) for s in fit]
         return fit[loads.index(min(loads))] if loads else None
