--- a/yardspindle/policy/slow_start.py
+++ b/yardspindle/policy/slow_start.py
@@ -8,8 +8,8 @@
   served. So the requests that can reach a server are its even part, however many others are full, dead or
   cold.
 - Beyond that a router sends a cold server half as much again at most, counted one by one over `fall_us`, of
-  what usually comes. Where that is less than one, a part of the routers may send one, by a draw that holds while
-  the server is listed.
+  what usually comes. Where that is less than one, a part of the routers may send one, by a draw that holds
+  while the server is listed.
 - A request goes there once: what was turned away, or failed, has been sent all the same.
 - Of those requests a part is let through: what the server has surely regained (a line: the ramp is not told).
 - When requests come faster than usual (clients that come again, routers that died), the part shrinks as much.
