Forget calls that lie unread at hosts that are gone from the list

Releases for calls of earlier scenarios, whose hosts had been taken off the list, connected to the new writer as its backlog was filled: the test's own connection waited 0.74 s there (UnreadCalls.take_due knew no list). Change: what lies at hosts that are gone is forgotten with the list that says so.

--- a/yardspindle/core/request/edge_core.py
+++ b/yardspindle/core/request/edge_core.py
@@ -71,6 +71,8 @@
         """The planner's list of servers."""
         commands = self.life.servers(now_us, listed)
         self.rooms.keep(self.life.directory.servers)
+        self.unread.keep([number for number, server in self.life.directory.servers.items()
+                          if server.state is not i.State.GONE])
         return self._out(now_us, commands)
 
     def arrive(self, now_us: int, ask: i.Request, whole: bool = False) -> list[c.Command]:
--- a/yardspindle/core/request/unread_calls.py
+++ b/yardspindle/core/request/unread_calls.py
@@ -16,7 +16,6 @@
 LAPSE_US = 6_000_000  # a machine that is silent for longer is taken for one that is gone
 CALLS_MOST = 5_000  # requests that are remembered; past it the oldest goes
 PERIOD_PART = 0.75  # of the release time, from one release to the next
-SILENT = -1  # stands for a connection that is silent, whatever its server answers on others
 
 
 @dataclass(slots=True)
@@ -25,7 +24,7 @@
 
     since_us: int
     due_us: int
-    servers: set[int] = field(default_factory=set)
+    servers: dict[int, bool] = field(default_factory=dict)  # is the connection silent, whatever others bring
 
 
 class UnreadCalls:
@@ -39,18 +38,24 @@
     def add(self, now_us: int, request: int, server: int, silent: bool) -> None:
         """A call was written to a server, which gave no word of it, and its connection is closed."""
         call = self.requests.setdefault(request, UnreadCall(now_us, now_us + self._period_us))
-        call.servers.add(SILENT if silent else server)
+        call.servers[server] = silent or call.servers.get(server, False)
         if len(self.requests) > CALLS_MOST:
             del self.requests[next(iter(self.requests))]
 
     def heard(self, now_us: int, server: int) -> None:
         """A server answers: what lay unread there is read in these moments."""
         for call in self.requests.values():
-            if server in call.servers:
-                call.servers.discard(server)
+            if call.servers.get(server) is False:
+                del call.servers[server]
                 if not call.servers:
                     call.due_us = now_us + AFTER_HEARD_US
 
+    def keep(self, listed: Collection[int]) -> None:
+        """Forget what lies at servers that are listed no more: they are gone, with all that they held."""
+        for request, call in list(self.requests.items()):
+            if call.servers and not any(server in listed for server in call.servers):
+                del self.requests[request]
+
     def take_due(self, now_us: int, running: Collection[int]) -> list[int]:
         """The requests whose release is to be said again now; those that run are let go of as a whole at their end."""
         due = []
