--- a/tests/soak.py
+++ b/tests/soak.py
@@ -153,6 +153,15 @@
         if kind == "dispatcher held up":
             await self._hold_up(life)
             return
+        if name in self.ending:
+            return  # another fault ends it, and starts it again
+        self.ending.add(name)
+        try:
+            await self._end_dispatcher(kind, name, life)
+        finally:
+            self.ending.discard(name)
+
+    async def _end_dispatcher(self, kind: str, name: str, life: Life) -> None:
         if kind == "signals":
             for each in self.random.choices(SIGNALS, k=self.random.randint(2, 5)):
                 await self._signal(life, each)
--- a/tests/soak_parties.py
+++ b/tests/soak_parties.py
@@ -110,6 +110,7 @@
         self.agents: dict[str, str] = {}
         self.servers: list[asyncio.Server] = []
         self.down: set[str] = set()  # hosts that are dead just now
+        self.ending: set[str] = set()  # dispatchers that a fault is about to end
         self.revision = 1
         self.silent_until = 0.0  # of all agents
         self.silent: dict[str, float] = {}  # hosts that are stopped, or whose connections are silent, and until when
