Read a new configuration until it can be read, also while no descriptor is free

Evidence: the log has "the new configuration is not taken fault=...: Too many open files" and nothing after it; 256 of 256 descriptors open at the signal; the new agent was never called. Ruled out: a list that was refused (none came), a connection to the new agent that failed (none was tried). At fault: RealWorld.read_file opened the file without making room, as connect and accept do, and `reload` in node/__main__.py tried once and logged. Same cause one step later: the first connection to the new agent competes with all clients and attempts that wait for a descriptor.

Change: read_file makes room; if nothing can be spared, ConfigReload (node/config_reload.py) reads again until the file could be read (a file that was read and is invalid is not read again). Calls to discovery and that read claim the next free descriptor (runtime/descriptors.py): accept and ordinary connects leave it to them; for them an idle client may be closed, too. An error of the system is a type of its own (ConfigUnreadable).

Fakes of `connect` take its new argument.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -34,7 +34,7 @@
 from yardspindle.lab.fleet import Dispatcher, EngineInstance, LocalFleet
 from yardspindle.protocol import http1
 from yardspindle.protocol.sse import SseParser
-from yardspindle.runtime import real
+from yardspindle.runtime import real_sockets
 from yardspindle.runtime.process import Child
 from yardspindle.runtime.real import RealWorld
 from yardspindle.runtime.world import Stream, StreamError
@@ -213,7 +213,7 @@
             ),
         ) as fleet,
     ):
-        original_init = real.RealStream.__init__
+        original_init = real_sockets.RealStream.__init__
         # Local ports of accepted connections, which are not connections from the edge to an engine.
         listening_ports = {fleet.port, fleet.planner_port}
 
@@ -224,7 +224,7 @@
             if server_side or (to_engine and sock.getsockname()[1] not in listening_ports):
                 self._sock = Counting(sock)
 
-        real.RealStream.__init__ = counting_init  # type: ignore[method-assign]
+        real_sockets.RealStream.__init__ = counting_init  # type: ignore[method-assign]
         done: list[dict[str, int]] = []
 
         def client() -> None:
@@ -243,7 +243,7 @@
         thread = threading.Thread(target=client)
         thread.start()
         thread.join(60)
-        real.RealStream.__init__ = original_init  # type: ignore[method-assign]
+        real_sockets.RealStream.__init__ = original_init  # type: ignore[method-assign]
     short, long = done
     for name in counts:
         print(
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -221,7 +221,7 @@
         connect_times: list[int] = []
         connect = follower.world.connect
 
-        def fail_to_connect(host: str, port: int, deadline_us: int) -> Stream:
+        def fail_to_connect(host: str, port: int, deadline_us: int, essential: bool = False) -> Stream:
             connect_times.append(follower.sim.now_us())
             raise ConnectReset("Too many open files")  # as RealWorld raises it: at once, without waiting
 
--- a/tests/test_node_held.py
+++ b/tests/test_node_held.py
@@ -175,9 +175,9 @@
         platform.ask(b"before")
         connect, read_times = node.world.connect, []
 
-        def connect_slowly(host: str, port: int, deadline_us: int) -> Stream:
+        def connect_slowly(host: str, port: int, deadline_us: int, essential: bool = False) -> Stream:
             node.world.sleep_until(min(node.world.now_us() + accept_us, deadline_us))
-            return connect(host, port, deadline_us)
+            return connect(host, port, deadline_us, essential)
 
         def hang(host: Host, to: Stream, number: bytes) -> bool:
             read_times.append(platform.sim.now_us())
--- a/tests/test_node_left.py
+++ b/tests/test_node_left.py
@@ -250,8 +250,8 @@
         forbid_late_writes(platform, node)
         original_connect = node.world.connect
 
-        def connect(host: str, port: int, deadline_us: int) -> Stream:
-            stream = original_connect(host, port, deadline_us)
+        def connect(host: str, port: int, deadline_us: int, essential: bool = False) -> Stream:
+            stream = original_connect(host, port, deadline_us, essential)
             for record in list(node.core.lifecycle.requests.values()):
                 if (
                     record.attempt is not None
--- a/tests/test_runtime_sockets.py
+++ b/tests/test_runtime_sockets.py
@@ -15,7 +15,8 @@
 import pytest
 
 from tests.test_runtime import world
-from yardspindle.runtime.real import ACCEPT_CONNECTION_ERRNOS, RealWorld
+from yardspindle.runtime.real import RealWorld
+from yardspindle.runtime.real_sockets import ACCEPT_CONNECTION_ERRNOS
 from yardspindle.runtime.scheduler import DeadlineExceeded
 from yardspindle.runtime.world import ConnectError, Stream, StreamError
 
--- a/tests/test_serving_close.py
+++ b/tests/test_serving_close.py
@@ -71,7 +71,7 @@
     def scenario(world: RealWorld, server: Server, handler: Handler, connect: Connect) -> tuple[bytes, bytes]:
         oldest, second = idle_clients(world, server, connect, 2)
         oldest.write(GET % b"crossed")
-        assert server._make_room()
+        assert server.close_longest_idle()
         return oldest.read(), read_to_end(second)
 
     crossed, second = run_server(scenario, max_connections=2)[0]
--- a/yardspindle/api/serving.py
+++ b/yardspindle/api/serving.py
@@ -108,10 +108,10 @@
 
     def _admit(self, stream: Stream) -> None:
         """Serve a connection, or reset it if there is no room: the last descriptors are for calls to engines."""
-        if not self._has_room() and not self._make_room():
+        if not self._has_room() and not self.close_longest_idle():
             # Lets the connections just accepted run once: only then are they listed as idle and can be closed.
             self._world.sleep_until(self._world.now_us())
-            if not self._has_room() and not self._make_room():
+            if not self._has_room() and not self.close_longest_idle():
                 stream.abort()
                 return
         task = self._world.spawn("connection", self._serve_connection, stream)
@@ -121,8 +121,8 @@
         busy = len(self._connections) - len(self._lingering)
         return not self._limits.max_connections or busy < self._limits.max_connections - self._max_lingering
 
-    def _make_room(self) -> bool:
-        """Close the connection that has been idle longest; False if every one is busy.
+    def close_longest_idle(self) -> bool:
+        """Close the connection that has been idle longest, to make room; False if every one is busy.
 
         It does not linger: hundreds of idle clients may connect each second, and they would displace the connections
         that linger for a response in transit (`_half_close`). That is safe: no response of this one is in transit and
--- a/yardspindle/engine/http_client.py
+++ b/yardspindle/engine/http_client.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -114,6 +115,7 @@
     limits: http1.Limits = field(default_factory=http1.Limits)
     idle_limit: IdleLimit | None = None  # in place of `idle_us`: lowered when connections are found closed
     head_us: int = 0  # limit from the first byte of a response head to its last; 0: none
+    essential: bool = False  # its connections get a file descriptor ahead of others when none is free
     counts: Counts = field(default_factory=Counts)
     _idle: dict[tuple[str, int], deque[Connection]] = field(default_factory=dict)
 
@@ -317,15 +319,21 @@
         until_us = self.world.now_us() + descriptor_us
         while True:
             try:  # a wait for a descriptor is not connect time, which tells whether the server is responsive
-                stream = self.world.connect(*key, self.world.now_us() + limit_us)
+                stream = self.world.connect(*key, self.world.now_us() + limit_us, self.essential)
             except DescriptorsExhausted:
                 if self.world.now_us() >= until_us:
                     raise
-                self.world.sleep_until(self.world.now_us() + timeouts.DESCRIPTOR_RETRY_PAUSE_US)
+                self._await_descriptor()
                 continue
             self.counts.opened += 1
             return Connection(stream, http1.ResponseParser(limits=self.limits))
 
+    def _await_descriptor(self) -> None:
+        """Pauses before the next try to get a descriptor; an essential client claims the next one that is free."""
+        retry_us = self.world.now_us() + timeouts.DESCRIPTOR_RETRY_PAUSE_US
+        with self.world.descriptor_priority.claim() if self.essential else contextlib.nullcontext():
+            self.world.sleep_until(retry_us)
+
     def close_oldest(self) -> bool:
         """Closes the pooled connection that was idle longest, to any server. Returns whether there was one."""
         idle = min((idle for idle in self._idle.values() if idle), key=lambda idle: idle[0].idle_since_us, default=None)
--- a/yardspindle/node/__main__.py
+++ b/yardspindle/node/__main__.py
@@ -14,7 +14,8 @@
 from yardspindle.core.config import ConfigError
 from yardspindle.node import log
 from yardspindle.node.app import Node
-from yardspindle.node.config import read_config, required_variables
+from yardspindle.node.config import NodeConfig, read_config, required_variables
+from yardspindle.node.config_reload import ConfigReload
 from yardspindle.runtime.real import RealWorld
 from yardspindle.runtime.scheduler import Task
 
@@ -45,20 +46,21 @@
     in what is read or causes a reload. Until then SIGHUP is ignored, as the command in deploy/balancer.toml sees to.
     """
 
-    # Both handlers run in a task of their own, at the earliest when this one first waits: `node` is set by then.
-    def reload() -> None:
-        try:
-            node.reload(read_config(world.read_file, variables))
-        except ConfigError as error:
-            log.write("the new configuration is not taken", fault=error)  # the running one stays in force
+    # The handlers run in tasks of their own, at the earliest when this one first waits: `node` is set by then.
+    def apply(config: NodeConfig) -> None:
+        node.reload(config)
 
     def stop() -> None:
         node.stop()  # the health check fails from now on; the main task then drains
         world.stop.set()
 
+    def read() -> NodeConfig:
+        return read_config(world.read_file, variables)
+
+    reload = ConfigReload(world, read, apply)
     world.scheduler.on_crash = log_crash
-    world.on_signals({signal.SIGTERM: stop, signal.SIGINT: stop, signal.SIGHUP: reload})
-    node = Node(world, read_config(world.read_file, variables))
+    world.on_signals({signal.SIGTERM: stop, signal.SIGINT: stop, signal.SIGHUP: reload.request})
+    node = Node(world, read())
     node.start()
     if not world.stop.is_set:
         gc.collect()  # with `freeze`: later collections, which block all tasks, skip the objects made at the start
--- a/yardspindle/node/app.py
+++ b/yardspindle/node/app.py
@@ -66,7 +66,7 @@
             idle_limit=IdleLimit(idle_us),
             head_us=timeouts.RESPONSE_HEAD_US,
         )
-        world.free_descriptor = self.http.close_oldest
+        world.free_descriptor = self._free_descriptor
         self.executor = Executor(world, self.core, session, HostClient(self.http))
         self._discovery_settled = world.signal()  # discovery answered, or the process is to stop
         self.discovery = DiscoveryClient(
@@ -142,6 +142,12 @@
             self.world.sleep_until(self.world.now_us() + TICK_INTERVAL_US)
         log.write("counts", **self.core.counts(), **self.policy.counts())
 
+    def _free_descriptor(self, essential: bool) -> bool:
+        """Close a pooled connection to a host; for an essential operation, if there is none, one to an idle client."""
+        if self.http.close_oldest():
+            return True
+        return essential and self._server is not None and self._server.close_longest_idle()
+
     def _end_open_requests(self) -> None:
         """Give every open request its final answer now: the process is about to be killed ("leaving" in the log)."""
         log.write("leaving", open=len(self.executor.running))
--- a/yardspindle/node/config.py
+++ b/yardspindle/node/config.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import errno
+import os
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Annotated, Any
@@ -27,6 +29,20 @@
 MAX_REASON_CHARS = 300  # keeps an error to one line, whatever the file holds
 
 
+class ConfigUnreadable(ConfigError):
+    """The configuration file could not be read, which may pass: it says nothing about what the file holds."""
+
+    def __init__(self, path: str, code: int | None, reason: str) -> None:
+        """`code` and `reason`: the number and the text of the system's error."""
+        super().__init__(f"{path}: {reason}")
+        self.code = code
+
+    @property
+    def descriptors_exhausted(self) -> bool:
+        """Whether this process had no file descriptor free."""
+        return self.code == errno.EMFILE
+
+
 class MachineLimits(Struct, frozen=True):
     """Resources of the machine."""
 
@@ -141,13 +157,14 @@
 
 
 def read_config(read_file: Callable[[str, int], bytes], variables: Mapping[str, str]) -> NodeConfig:
-    """Read and check the configuration file. Raises ConfigError."""
+    """Read and check the configuration file. Raises ConfigUnreadable, or another ConfigError for its contents."""
     path = variables["ROUTER_CONFIG"]
     try:
-        data = read_file(path, MAX_CONFIG_BYTES + 1)
+        return parse_config(variables, read_file(path, MAX_CONFIG_BYTES + 1))
     except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
-    return parse_config(variables, data)
+        raise ConfigUnreadable(path, error.errno, error.strerror or str(error)) from None
+    except MemoryError:
+        raise ConfigUnreadable(path, errno.ENOMEM, os.strerror(errno.ENOMEM)) from None
 
 
 def _address(file: str, field: str, text: str | None, variable: str) -> tuple[str, int]:
--- a/yardspindle/node/discovery.py
+++ b/yardspindle/node/discovery.py
@@ -56,7 +56,7 @@
                 self.start()
 
     def _run(self, address: tuple[str, int]) -> None:
-        client = HttpClient(self._world, CONNECT_TIMEOUT_US, IDLE_TIMEOUT_US, limits=RESPONSE_LIMITS)
+        client = HttpClient(self._world, CONNECT_TIMEOUT_US, IDLE_TIMEOUT_US, limits=RESPONSE_LIMITS, essential=True)
         schedule = DiscoverySchedule()
         try:
             while True:
--- a/yardspindle/runtime/real.py
+++ b/yardspindle/runtime/real.py
@@ -10,16 +10,16 @@
 import secrets
 import signal as signals
 import socket
-import struct
 import time
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Any, Literal, TypeVar
 
+from yardspindle.runtime.descriptors import DescriptorPriority
 from yardspindle.runtime.poller import READ_MASK, WRITE_MASK, PollPoller
+from yardspindle.runtime.real_sockets import EXHAUSTION_ERRNOS, RealListener, RealStream
 from yardspindle.runtime.scheduler import (
     Cancelled,
     Channel,
-    Closed,
     Deadline,
     DeadlineExceeded,
     Scheduler,
@@ -34,182 +34,12 @@
     Listener,
     MessageSocket,
     Stream,
-    StreamError,
 )
 
 if TYPE_CHECKING:
     import zmq
 
 T = TypeVar("T")
-WOULD_BLOCK_ERRNOS = (errno.EAGAIN, errno.EWOULDBLOCK)
-# Errors of the connection being accepted rather than of the listener (see accept(2)): further accepts can succeed.
-ACCEPT_CONNECTION_ERRNOS = (
-    errno.ECONNABORTED,
-    errno.EPROTO,
-    errno.ENETDOWN,
-    errno.ENOPROTOOPT,
-    errno.EHOSTDOWN,
-    errno.ENONET,
-    errno.EHOSTUNREACH,
-    errno.EOPNOTSUPP,
-    errno.ENETUNREACH,
-    errno.ETIMEDOUT,
-    errno.ECONNRESET,
-    errno.EPERM,
-    errno.EINTR,
-)
-EXHAUSTION_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
-ACCEPT_RETRY_US = 50_000  # delay before accept is retried when no descriptor was free, for some connection to close
-
-
-class RealStream:
-    """Implements Stream with a non-blocking TCP socket."""
-
-    def __init__(self, world: RealWorld, sock: socket.socket) -> None:
-        """Take ownership of a connected socket."""
-        self._world = world
-        self._sock = sock
-        self._descriptor = sock.fileno()
-        self._drained = True  # the last read emptied the receive buffer: wait before the next one
-        sock.setblocking(False)
-        try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.peer = str(sock.getpeername()[0])
-        except OSError:
-            self.peer = "?"
-
-    def read(self, limit: int = 65_536) -> bytes:
-        """Wait for data; empty bytes at the end of the stream (Stream)."""
-        while True:
-            if self._descriptor < 0:
-                raise StreamError("closed here")
-            if self._drained:
-                self._world.poller.block(self._world.scheduler, self._descriptor, READ_MASK)
-                if self._descriptor < 0:
-                    raise StreamError("closed here")
-            self._drained = True
-            try:
-                data = self._sock.recv(limit)
-            except OSError as error:
-                if error.errno in WOULD_BLOCK_ERRNOS:
-                    continue
-                raise StreamError(os.strerror(error.errno or 0)) from None
-            self._drained = 0 < len(data) < limit
-            return data
-
-    def write(self, data: bytes) -> None:
-        """Write all data, waiting while the peer does not read (Stream)."""
-        if self._descriptor < 0:
-            raise StreamError("closed here")
-        try:
-            sent = self._sock.send(data)
-            if sent == len(data):
-                return
-            rest = memoryview(data)[sent:]
-        except OSError as error:
-            if error.errno not in WOULD_BLOCK_ERRNOS:
-                raise StreamError(os.strerror(error.errno or 0)) from None
-            rest = memoryview(data)
-        while rest:
-            self._world.poller.block(self._world.scheduler, self._descriptor, WRITE_MASK)
-            self._world.scheduler.raise_interrupt()  # whoever cancelled this task assumes that the rest is not sent
-            if self._descriptor < 0:
-                raise StreamError("closed here")
-            try:
-                rest = rest[self._sock.send(rest) :]
-            except OSError as error:
-                if error.errno not in WOULD_BLOCK_ERRNOS:
-                    raise StreamError(os.strerror(error.errno or 0)) from None
-
-    def is_idle(self) -> bool:
-        """Whether there is no unread input and the peer has not closed (Stream)."""
-        if self._descriptor < 0:
-            return False
-        try:
-            self._sock.recv(1, socket.MSG_PEEK)
-        except OSError as error:
-            return error.errno in WOULD_BLOCK_ERRNOS
-        return False
-
-    def wait_input(self) -> None:
-        """Wait until the peer sends data or closes, without reading it (Stream)."""
-        if self._descriptor >= 0:
-            self._world.poller.block(self._world.scheduler, self._descriptor, READ_MASK)
-
-    def send_eof(self) -> None:
-        """Close the sending side only (Stream)."""
-        if self._descriptor >= 0:
-            with contextlib.suppress(OSError):  # the connection was reset
-                self._sock.shutdown(socket.SHUT_WR)
-
-    def close(self) -> None:
-        """Close the connection; with a reset if received bytes were not read (Stream)."""
-        if self._descriptor >= 0:
-            self._world.poller.unregister(self._descriptor)
-            self._descriptor = -1
-            self._sock.close()
-
-    def abort(self) -> None:
-        """Close with a reset, discarding unsent data (Stream)."""
-        if self._descriptor >= 0:
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            self.close()
-
-
-class RealListener:
-    """Implements Listener with a non-blocking TCP socket."""
-
-    def __init__(self, world: RealWorld, sock: socket.socket) -> None:
-        """Take ownership of a listening socket."""
-        self._world = world
-        self._sock = sock
-        self.host, self.port = sock.getsockname()[:2]
-        self.closed = False
-
-    def accept(self) -> Stream:
-        """Wait for a connection (Listener); without a free descriptor, retry later: clients stay in the backlog."""
-        while True:
-            if self.closed:
-                raise Closed
-            try:
-                sock, _ = self._sock.accept()
-                return RealStream(self._world, sock)
-            except OSError as error:
-                if error.errno in WOULD_BLOCK_ERRNOS:
-                    self._world.poller.block(self._world.scheduler, self._sock.fileno(), READ_MASK)
-                elif error.errno in EXHAUSTION_ERRNOS:
-                    if self._world.free_descriptor():
-                        continue
-                    self._world.sleep_until(self._world.now_us() + ACCEPT_RETRY_US)
-                elif error.errno not in ACCEPT_CONNECTION_ERRNOS:
-                    raise
-
-    def stop(self, admit: Callable[[Stream], None]) -> None:
-        """Stop (Listener); of what connects after the last accept, `close` resets at most the one that is queued."""
-        if not self.closed:
-            with contextlib.suppress(OSError):
-                self._accept_pending(admit)
-                self._sock.listen(0)  # the kernel queues one connection and drops other SYNs, which clients resend
-                self._accept_pending(admit)
-            self.close()
-
-    def _accept_pending(self, admit: Callable[[Stream], None]) -> None:
-        while True:
-            try:
-                sock, _ = self._sock.accept()
-                admit(RealStream(self._world, sock))
-            except OSError as error:
-                if error.errno in WOULD_BLOCK_ERRNOS:
-                    return
-                if error.errno not in ACCEPT_CONNECTION_ERRNOS:
-                    raise
-
-    def close(self) -> None:
-        """Stop listening and reset connections that were not accepted yet (Listener)."""
-        if not self.closed:
-            self.closed = True
-            self._world.poller.unregister(self._sock.fileno())
-            self._sock.close()
 
 
 class RealWorld:
@@ -221,7 +51,8 @@
         self.poller = PollPoller()
         self.scheduler = Scheduler(self.poller)
         self.stop = Signal(self.scheduler)
-        self.free_descriptor: Callable[[], bool] = lambda: False
+        self.free_descriptor: Callable[[bool], bool] = lambda essential: False
+        self.descriptor_priority = DescriptorPriority()
         self._zmq: zmq.Context[zmq.Socket[bytes]] | None = None
 
     def run(self, name: str, function: Callable[..., T], *args: Any) -> T:
@@ -279,16 +110,9 @@
             raise
         return RealListener(self, sock)
 
-    def connect(self, host: str, port: int, deadline_us: int) -> Stream:
+    def connect(self, host: str, port: int, deadline_us: int, essential: bool = False) -> Stream:
         """Connect by the deadline (World). Hosts are IP addresses: resolving a name would block the event loop."""
-        try:
-            sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
-        except OSError as error:  # no reset, but also raised as ConnectReset: weak evidence of a fault of the server
-            if error.errno in EXHAUSTION_ERRNOS and self.free_descriptor():
-                return self.connect(host, port, deadline_us)
-            raise (DescriptorsExhausted if error.errno in EXHAUSTION_ERRNOS else ConnectReset)(
-                os.strerror(error.errno or 0)
-            ) from None
+        sock = self._open_socket(socket.AF_INET6 if ":" in host else socket.AF_INET, essential)
         limit = self.deadline(deadline_us)
         try:
             sock.setblocking(False)
@@ -312,6 +136,18 @@
             sock.close()
             raise
 
+    def _open_socket(self, family: socket.AddressFamily, essential: bool) -> socket.socket:
+        """Open a TCP socket. Raises DescriptorsExhausted, or ConnectReset: weak evidence of a fault of the server."""
+        while essential or not self.descriptor_priority.claimed:
+            try:
+                return socket.socket(family, socket.SOCK_STREAM)
+            except OSError as error:
+                if error.errno not in EXHAUSTION_ERRNOS:
+                    raise ConnectReset(os.strerror(error.errno or 0)) from None
+                if not self.free_descriptor(essential):
+                    break
+        raise DescriptorsExhausted(os.strerror(errno.EMFILE))
+
     def message_socket(
         self, kind: Literal["sub", "pub", "dealer", "router"], host: str, port: int, topic: bytes = b""
     ) -> MessageSocket:
@@ -329,9 +165,14 @@
         return random.Random(f"{self.seed} {name}")
 
     def read_file(self, path: str, max_bytes: int = -1) -> bytes:
-        """Read a file, or its first `max_bytes` (World)."""
-        with open(path, "rb", opener=lambda name, flags: os.open(name, flags | os.O_NONBLOCK)) as file:
-            return file.read(max_bytes) or b""  # None is read from an empty pipe that has a writer
+        """Read a file, or its first `max_bytes`; a connection that can be spared makes room for it (World)."""
+        while True:
+            try:
+                with open(path, "rb", opener=lambda name, flags: os.open(name, flags | os.O_NONBLOCK)) as file:
+                    return file.read(max_bytes) or b""  # None is read from an empty pipe that has a writer
+            except OSError as error:
+                if error.errno not in EXHAUSTION_ERRNOS or not self.free_descriptor(True):
+                    raise
 
     def append_file(self, path: str, data: bytes) -> None:
         """Append to a file with a single write (World)."""
--- a/yardspindle/runtime/virtual.py
+++ b/yardspindle/runtime/virtual.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from typing import Any, Literal, TypeVar
 
+from yardspindle.runtime.descriptors import DescriptorPriority
 from yardspindle.runtime.scheduler import (
     Cancelled,
     Channel,
@@ -117,7 +118,8 @@
         self.sim, self.name, self._number = sim, name, number
         self.scheduler = sim.scheduler
         self.stop = Signal(sim.scheduler)
-        self.free_descriptor: Callable[[], bool] = lambda: False
+        self.free_descriptor: Callable[[bool], bool] = lambda essential: False
+        self.descriptor_priority = DescriptorPriority()
         self.gate = Gate()
         self.alive = True
         self._clock_offset_us = 0  # relative to the reference clock
@@ -214,7 +216,7 @@
         listeners[(host, port)] = VirtualListener(self, host, port, backlog)
         return listeners[(host, port)]
 
-    def connect(self, host: str, port: int, deadline_us: int) -> Stream:
+    def connect(self, host: str, port: int, deadline_us: int, essential: bool = False) -> Stream:
         """Connect to an address, waiting until the deadline at most (World)."""
         self._check_alive()
         limit = self.deadline(deadline_us)
--- a/yardspindle/runtime/world.py
+++ b/yardspindle/runtime/world.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Literal, Protocol
 
+from yardspindle.runtime.descriptors import DescriptorPriority
 from yardspindle.runtime.scheduler import Channel, Deadline, Signal, Task
 
 
@@ -126,7 +127,9 @@
 
     stop: Signal  # set when the program should shut down
     # Called when no file descriptor is free: closes a connection that can be spared; returns whether it closed one.
-    free_descriptor: Callable[[], bool]
+    # The argument: whether an essential operation needs it, for which more can be spared.
+    free_descriptor: Callable[[bool], bool]
+    descriptor_priority: DescriptorPriority
 
     def now_us(self) -> int:
         """Return the time in microseconds since the epoch; it never goes backwards."""
@@ -155,8 +158,11 @@
     def listen(self, host: str, port: int, backlog: int = 512) -> Listener:
         """Listen on an address; port 0 lets the system choose a free port. Raises OSError."""
 
-    def connect(self, host: str, port: int, deadline_us: int) -> Stream:
-        """Connect to an address. Raises ConnectError, also at the deadline, or DescriptorsExhausted without waiting."""
+    def connect(self, host: str, port: int, deadline_us: int, essential: bool = False) -> Stream:
+        """Connect to an address. Raises ConnectError, also at the deadline, or DescriptorsExhausted without waiting.
+
+        One that is not essential gets no descriptor while an essential operation waits for one.
+        """
 
     def message_socket(
         self, kind: Literal["sub", "pub", "dealer", "router"], host: str, port: int, topic: bytes = b""
