Run tasks that a program needs again after an error, in place of going on without them

A task that accepts, follows discovery or a server list, checks deadlines, keeps a lease, runs a duty or takes orders ended for good at its first unforeseen error (no memory, an error of the system that is not listed); the program lived on without it. At fault: World.spawn for such tasks; log_crash only logs.

Change: World.spawn_service (runtime/service.py) passes the error to the crash hook and runs the function again after 20 ms, doubled up to 1 s. Used by the dispatcher (accept, tick, discovery), edge, planner, steward with its duties, unit, membership and member page. Simulations count such an error as a crash, as before. Discovery's client closes its connections however its task ends.

Tests: tests/test_services.py; with spawn in place of spawn_service four of its five fail (the fifth is on cancelling). A first form of the deadline test passed without the change, and the accept test waited without end; both were rewritten.

--- a/yardspindle/edge/app.py
+++ b/yardspindle/edge/app.py
@@ -111,9 +111,9 @@
         """Start serving; return the address once a planner is linked, or after a limited wait. Raises OSError."""
         listener = self.world.listen(*split_address(self.config.edge.listen))
         self._server = Server(self.world, listener, self, self.limits, _log_handler_error)
-        self.world.spawn("accept", self._server.serve)
-        self.world.spawn("planner link", self.planner_link.run)
-        self.world.spawn("tick", self._tick)
+        self.world.spawn_service("accept", self._server.serve)
+        self.world.spawn_service("planner link", self.planner_link.run)
+        self.world.spawn_service("tick", self._tick)
         if self.config.fleet.store:
             self.world.spawn(
                 "join",
--- a/yardspindle/fleet/member_page.py
+++ b/yardspindle/fleet/member_page.py
@@ -45,7 +45,8 @@
     def start(self, host: str, port: int) -> tuple[str, int]:
         """Start serving and return the address. Raises OSError."""
         listener = self._world.listen(host, port)
-        self._world.spawn("member page", Server(self._world, listener, self, ServingLimits(), _ignore_error).serve)
+        server = Server(self._world, listener, self, ServingLimits(), _ignore_error)
+        self._world.spawn_service("member page", server.serve)
         return listener.host, listener.port
 
     def early_reply(self, head: http1.RequestHead) -> Reply | None:
--- a/yardspindle/fleet/membership.py
+++ b/yardspindle/fleet/membership.py
@@ -78,7 +78,7 @@
         host, port = MemberPage(self._world, lambda: self.member).start(host, port)
         address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         self.member = msgspec.structs.replace(self.member, page=self._advertise or address)
-        self._world.spawn("membership", self._run)
+        self._world.spawn_service("membership", self._run)
 
     def set_able(self, able: bool) -> None:
         """Set whether this process can take duties (background tasks); a change is written to the store soon."""
--- a/yardspindle/node/app.py
+++ b/yardspindle/node/app.py
@@ -100,8 +100,8 @@
         self.host_list.restore(config.known)
         self._on_list_change()
         self.discovery.start()
-        self.world.spawn("accept", self._server.serve)
-        self.world.spawn("tick", self._tick)
+        self.world.spawn_service("accept", self._server.serve)
+        self.world.spawn_service("tick", self._tick)
         try:
             with self.world.deadline(self.world.now_us() + timeouts.FIRST_LIST_US):
                 self._discovery_settled.wait()
--- a/yardspindle/node/discovery.py
+++ b/yardspindle/node/discovery.py
@@ -16,7 +16,7 @@
 from yardspindle.engine.http_client import ConnectError, ExchangeBroken, HttpClient, Response
 from yardspindle.node import log
 from yardspindle.protocol import http1
-from yardspindle.runtime.scheduler import Cancelled, DeadlineExceeded, Signal, Task
+from yardspindle.runtime.scheduler import DeadlineExceeded, Signal, Task
 from yardspindle.runtime.world import World
 
 HOSTS_PATH = b"/discovery/hosts"
@@ -44,7 +44,7 @@
 
     def start(self) -> None:
         """Start the task that makes the calls."""
-        self._task = self._world.spawn("discovery", self._run, self._address)
+        self._task = self._world.spawn_service("discovery", self._run, self._address)
 
     def change_address(self, address: tuple[str, int]) -> None:
         """Switch to an agent at another address; before `start`, it takes effect then."""
@@ -63,9 +63,8 @@
                 pause_us = self._poll(client, address, schedule)
                 if pause_us:
                     self._world.sleep_until(self._world.now_us() + pause_us)
-        except Cancelled:
+        finally:
             client.close_all()
-            raise
 
     def _poll(self, client: HttpClient, address: tuple[str, int], schedule: DiscoverySchedule) -> int:
         """Make one call and apply its result; returns the pause before the next call."""
--- a/yardspindle/planner/app.py
+++ b/yardspindle/planner/app.py
@@ -57,14 +57,14 @@
         """Read the server list, start serving and return the address. Raises ConfigError and OSError."""
         self.list_file.load()
         self._listener = self.world.listen(*split_address(self.config.planner.listen))
-        self.world.spawn("servers", self.list_file.run, microseconds(self.config.planner.reread_ms))
-        self.world.spawn("accept", self._accept, self._listener)
+        self.world.spawn_service("servers", self.list_file.run, microseconds(self.config.planner.reread_ms))
+        self.world.spawn_service("accept", self._accept, self._listener)
         if self.config.planner.metrics is not None:
             listener = self.world.listen(*split_address(self.config.planner.metrics))
             metrics_server = Server(
                 self.world, listener, _MetricsPage(self), ServingLimits(), lambda fault: log.error(str(fault))
             )
-            self.world.spawn("metrics", metrics_server.serve)
+            self.world.spawn_service("metrics", metrics_server.serve)
         if self.config.fleet.store:
             name = f"planner-{self._listener.host}:{self._listener.port}"
             self.world.spawn(
--- a/yardspindle/runtime/real.py
+++ b/yardspindle/runtime/real.py
@@ -26,6 +26,7 @@
     Signal,
     Task,
 )
+from yardspindle.runtime.service import run_service
 from yardspindle.runtime.world import (
     ConnectError,
     ConnectReset,
@@ -80,6 +81,10 @@
         """Start a task that runs `function(*args)` (World)."""
         return self.scheduler.spawn(name, function, *args)
 
+    def spawn_service(self, name: str, function: Callable[..., Any], *args: Any) -> Task:
+        """Start a task that has to go on, after an error too (World)."""
+        return self.spawn(name, run_service, self.scheduler, function, args)
+
     def current(self) -> Task:
         """The running task (World)."""
         return self.scheduler.current
--- a/yardspindle/runtime/virtual.py
+++ b/yardspindle/runtime/virtual.py
@@ -23,6 +23,7 @@
     Signal,
     Task,
 )
+from yardspindle.runtime.service import run_service
 from yardspindle.runtime.virtual_network import Network, VirtualListener, VirtualMessageSocket, VirtualStream
 from yardspindle.runtime.world import ConnectError, Database, Listener, MessageSocket, Stream
 
@@ -183,6 +184,10 @@
         task.gate = self.gate
         return task
 
+    def spawn_service(self, name: str, function: Callable[..., Any], *args: Any) -> Task:
+        """Start a task that has to go on, after an error too (World)."""
+        return self.spawn(name, run_service, self.scheduler, function, args)
+
     def current(self) -> Task:
         """The running task (World)."""
         return self.scheduler.current
--- a/yardspindle/runtime/world.py
+++ b/yardspindle/runtime/world.py
@@ -143,6 +143,9 @@
     def spawn(self, name: str, function: Callable[..., Any], *args: Any) -> Task:
         """Start a task that runs `function(*args)`."""
 
+    def spawn_service(self, name: str, function: Callable[..., Any], *args: Any) -> Task:
+        """Start a task that has to go on: after an error, which is reported, `function(*args)` runs again."""
+
     def current(self) -> Task:
         """Return the running task."""
 
--- a/yardspindle/steward/app.py
+++ b/yardspindle/steward/app.py
@@ -87,10 +87,10 @@
         self.state, _ = ownership.start(self.name, self.lease_timing, self.world.now_us())
         self.membership.start(host, port)
         self._started = True
-        self.world.spawn("list", source.run, microseconds(self.config.planner.reread_ms))
-        self.world.spawn("count starts", self._record_start)
-        self.world.spawn("follow", self.watcher.run)
-        self.world.spawn("tick", self._tick)
+        self.world.spawn_service("list", source.run, microseconds(self.config.planner.reread_ms))
+        self.world.spawn_service("count starts", self._record_start)
+        self.world.spawn_service("follow", self.watcher.run)
+        self.world.spawn_service("tick", self._tick)
         address = split_address(self.membership.member.page)
         return address[0], address[1]
 
@@ -155,7 +155,7 @@
                     self.world.spawn(f"take {duty}", self._acquire, duty, lease)
                 case ownership.StartDuty(duty, fence):
                     log.info("duty taken", duty=duty, fence=fence)
-                    self.duty_tasks[duty] = self.world.spawn(f"duty {duty}", self._create_duty(duty).run)
+                    self.duty_tasks[duty] = self.world.spawn_service(f"duty {duty}", self._create_duty(duty).run)
                 case ownership.StopDuty(duty, fence, hand_over, why):
                     log.info("duty ended", duty=duty, fence=fence, why=why)
                     task = self.duty_tasks.pop(duty, None)
--- a/yardspindle/unit/app.py
+++ b/yardspindle/unit/app.py
@@ -128,9 +128,9 @@
         """Registers the unit and starts supervising it. Returns the address of its status page. Raises OSError."""
         self.membership.start(*self._listen)
         self._apply(*unit_control.resume(self.state, self.world.now_us(), self.runner.alive()))
-        self.world.spawn("orders", self._poll_orders)
-        self.world.spawn("watch", self._watch_process)
-        self.world.spawn("publish status", self._publish_status)
+        self.world.spawn_service("orders", self._poll_orders)
+        self.world.spawn_service("watch", self._watch_process)
+        self.world.spawn_service("publish status", self._publish_status)
         return self.membership.member.page
 
     def stop(self) -> None:
