Poll again when the kernel has no memory for it, in place of ending the process

Cause: poll(2) may fail with ENOMEM; PollPoller.wait let the error through, which ended the event loop and so the process. Change: the poller waits 1 ms and reports nothing; the loop polls again. Test: test_the_loop_goes_on_when_the_kernel_has_no_memory_to_poll; without the change "OSError: [Errno 12] injected".

--- /dev/null
+++ b/tests/test_runtime_failures.py
@@ -0,0 +1,55 @@
+"""System calls that fail for a while, and callbacks that fail, at the real World: nothing is given up for good."""
+
+from __future__ import annotations
+
+import errno
+import os
+import signal
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from tests.test_runtime import world
+from tests.test_runtime_sockets import FailingSocket
+from yardspindle.runtime.real_sockets import RealListener
+from yardspindle.runtime.scheduler import Task
+from yardspindle.runtime.world import Stream
+
+WAIT_US = 5_000_000
+
+
+def failing(function: Callable[..., Any], *codes: int) -> Callable[..., Any]:
+    """The function, whose first calls fail with these error numbers."""
+    left = list(codes)
+
+    def call(*args: Any, **named: Any) -> Any:
+        if left:
+            raise OSError(left.pop(0), "injected")
+        return function(*args, **named)
+
+    return call
+
+
+class FailingPoll:
+    """A poll object whose first calls fail for lack of memory."""
+
+    def __init__(self, poll: Any, failures: int) -> None:
+        self._poll = poll
+        self.poll = failing(poll.poll, *[errno.ENOMEM] * failures)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._poll, name)
+
+
+def test_the_loop_goes_on_when_the_kernel_has_no_memory_to_poll() -> None:
+    """Guards against ENOMEM from poll(2) ending the process."""
+    w = world()
+    w.poller._poll = FailingPoll(w.poller._poll, 3)  # type: ignore[assignment]
+
+    def main() -> Task:
+        w.sleep_until(w.now_us() + 10_000)
+        return w.current()
+
+    assert w.run("main", main).done
--- a/yardspindle/runtime/poller.py
+++ b/yardspindle/runtime/poller.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 import select
 import time
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 
 READ_MASK = select.POLLIN
 WRITE_MASK = select.POLLOUT
+POLL_RETRY_S = 0.001
 
 
 class PollPoller:
@@ -39,7 +41,7 @@
         """Wait until a descriptor is ready or the time is reached; wake the tasks whose descriptors are ready."""
         timeout_ms = None if until_us is None else max(0, -(-(until_us - self.now_us()) // 1_000))
         self.polls += 1
-        for descriptor, events in self._poll.poll(timeout_ms):
+        for descriptor, events in self._poll_events(timeout_ms):
             waiting = self._waiting.get(descriptor)
             if waiting is None:
                 continue
@@ -47,6 +49,16 @@
                 if events & (mask | select.POLLERR | select.POLLHUP | select.POLLNVAL):
                     self._wake(task)
 
+    def _poll_events(self, timeout_ms: int | None) -> list[tuple[int, int]]:
+        """Poll; without memory for it the kernel reports nothing, so wait a moment and let the caller poll again."""
+        try:
+            return self._poll.poll(timeout_ms)
+        except OSError as error:
+            if error.errno not in (errno.ENOMEM, errno.EAGAIN):
+                raise
+            time.sleep(POLL_RETRY_S)
+            return []
+
     def block(self, scheduler: Scheduler, descriptor: int, mask: int) -> None:
         """Park the running task until the descriptor is ready for reading or writing, as given by `mask`."""
         self._wake = scheduler.wake
