Let the error of one timer end neither the event loop nor the timers beside it

Cause: the loop called the callbacks of due timers unguarded: an error ended the process, and the others that were due at the same time were gone. The policy's timer was not set again after an error until another event came. Change: each callback is called for itself and its error goes to Scheduler.on_timer_error, which raises by default and logs in the programs; the dispatcher sets the policy's next timer after an error, too. Test: test_a_timer_that_fails_keeps_no_other_one_from_firing; without the change MemoryError ends the loop. The policy's timer has no test of its own.

--- a/tests/test_runtime_failures.py
+++ b/tests/test_runtime_failures.py
@@ -32,6 +32,27 @@
     return call
 
 
+def test_a_timer_that_fails_keeps_no_other_one_from_firing() -> None:
+    """Guards against the error of one timer ending the event loop, and the process with it."""
+    w = world()
+    errors: list[Exception] = []
+    w.scheduler.on_timer_error = errors.append
+
+    def fail() -> None:
+        raise MemoryError
+
+    def main() -> None:
+        fired = w.signal()
+        due_us = w.now_us() + 1_000
+        w.call_at(due_us, fail)
+        w.call_at(due_us, fired.set)
+        with w.deadline(w.now_us() + WAIT_US):
+            fired.wait()
+
+    w.run("main", main)
+    assert [type(error) for error in errors] == [MemoryError]
+
+
 class FailingPoll:
     """A poll object whose first calls fail for lack of memory."""
 
--- a/yardspindle/cli/common.py
+++ b/yardspindle/cli/common.py
@@ -83,5 +83,9 @@
     def log_crash(task: object, error: BaseException) -> None:
         structlog.get_logger("yardspindle").error("task failed", task=getattr(task, "name", "?"), exc_info=error)
 
+    def log_timer_error(error: Exception) -> None:
+        structlog.get_logger("yardspindle").error("timer failed", exc_info=error)
+
     world.scheduler.on_crash = log_crash
+    world.scheduler.on_timer_error = log_timer_error
     world.run(name, program)
--- a/yardspindle/node/__main__.py
+++ b/yardspindle/node/__main__.py
@@ -59,6 +59,7 @@
 
     reload = ConfigReload(world, read, apply)
     world.scheduler.on_crash = log_crash
+    world.scheduler.on_timer_error = log.timer_failed
     world.on_signals({signal.SIGTERM: stop, signal.SIGINT: stop, signal.SIGHUP: reload.request})
     node = Node(world, read())
     node.start()
--- a/yardspindle/node/executor.py
+++ b/yardspindle/node/executor.py
@@ -102,7 +102,7 @@
                 self._apply_decisions(self._session.tick(self._world.now_us()))
             finally:
                 self._deciding = False
-            self.perform([])
+                self.perform([])  # sets the next timer, also after an error
 
         log.run_guarded(decide)
 
--- a/yardspindle/node/log.py
+++ b/yardspindle/node/log.py
@@ -16,9 +16,14 @@
         sys.stderr.write(" ".join(text.split())[:MAX_LINE_CHARS] + "\n")
 
 
+def timer_failed(error: Exception) -> None:
+    """Log an error of a timer's callback; the others run all the same."""
+    write("a timer failed", fault=f"{type(error).__name__}: {error}")
+
+
 def run_guarded(callback: Callable[[], None]) -> None:
     """Run a timer callback: an error in it is logged and does not end the event loop."""
     try:
         callback()
     except Exception as fault:
-        write("a timer failed", fault=f"{type(fault).__name__}: {fault}")
+        timer_failed(fault)
--- a/yardspindle/runtime/scheduler.py
+++ b/yardspindle/runtime/scheduler.py
@@ -15,7 +15,7 @@
 
 import greenlet
 
-from yardspindle.runtime.timers import TimerHandle, Timers
+from yardspindle.runtime.timers import TimerHandle, Timers, raise_error, run_callbacks
 
 T = TypeVar("T")
 
@@ -166,6 +166,7 @@
         self._ready: deque[tuple[Task, Any, BaseException | None]] = deque()
         self._current: Task | None = None
         self.on_crash: Callable[[Task, BaseException], None] = _raise_crash
+        self.on_timer_error: Callable[[Exception], None] = raise_error
         self.switches = 0
 
     @property
@@ -280,8 +281,7 @@
                     task.cancel()
             if not self.tasks:
                 return
-            for callback in self.timers.pop_due(self.poller.now_us()):
-                callback()
+            run_callbacks(self.timers.pop_due(self.poller.now_us()), self.on_timer_error)
             if self._ready:
                 self.poller.wait(0)
                 continue
--- a/yardspindle/runtime/timers.py
+++ b/yardspindle/runtime/timers.py
@@ -73,3 +73,17 @@
             due += [handle.callback for handle in bucket]
             bucket.clear()
         return due
+
+
+def run_callbacks(callbacks: list[Callable[[], None]], on_error: Callable[[Exception], None]) -> None:
+    """Call each callback; the error of one is passed on and keeps no other one from being called."""
+    for callback in callbacks:
+        try:
+            callback()
+        except Exception as error:
+            on_error(error)
+
+
+def raise_error(error: Exception) -> None:
+    """Raise an error of a callback: the event loop then ends."""
+    raise error
