Accept again after unlisted errors, and at a shutdown once a descriptor is free

Cause: an error number that accept(2) does not name ended the accepting task. At a shutdown without a free descriptor RealListener.stop gave up at the first EMFILE and reset all connections that waited. Change: accept pauses and goes on unless the socket itself is no listener any more; stop makes room, and tells when connections still wait, so that Server.drain calls it again within the time of the drain. The stall guard closes its stream also if the core fails. Tests: test_accepting_goes_on_after_errors_that_no_page_lists, test_connections_that_wait_at_the_stop_are_accepted_once_a_descriptor_is_free; without the change both fail.

--- a/tests/test_runtime_failures.py
+++ b/tests/test_runtime_failures.py
@@ -32,6 +32,41 @@
     return call
 
 
+def test_accepting_goes_on_after_errors_that_no_page_lists() -> None:
+    """Guards against the listener being given up after an error number that accept(2) does not name."""
+    w = world()
+
+    def main() -> None:
+        listener = w.listen("127.0.0.1", 0)
+        listener._sock = FailingSocket(listener._sock, [errno.EIO, errno.ENOSR])  # type: ignore[attr-defined]
+        accepted = w.spawn("accept", listener.accept)
+        near = w.connect("127.0.0.1", listener.port, w.now_us() + WAIT_US)
+        with w.deadline(w.now_us() + WAIT_US):
+            far: Stream = accepted.join()
+        near.close()
+        far.close()
+
+    w.run("main", main)
+
+
+def test_connections_that_wait_at_the_stop_are_accepted_once_a_descriptor_is_free() -> None:
+    """Guards against waiting connections being reset at a shutdown while no descriptor is free."""
+    w = world()
+
+    def main() -> None:
+        listener = w.listen("127.0.0.1", 0)
+        assert isinstance(listener, RealListener)
+        near = w.connect("127.0.0.1", listener.port, w.now_us() + WAIT_US)
+        listener._sock = FailingSocket(listener._sock, [errno.EMFILE])  # type: ignore[assignment]
+        admitted: list[Stream] = []
+        assert not listener.stop(admitted.append) and not listener.closed
+        assert listener.stop(admitted.append) and listener.closed
+        near.write(b"x")
+        assert admitted[0].read() == b"x"
+
+    w.run("main", main)
+
+
 def test_a_timer_that_fails_keeps_no_other_one_from_firing() -> None:
     """Guards against the error of one timer ending the event loop, and the process with it."""
     w = world()
--- a/yardspindle/api/serving.py
+++ b/yardspindle/api/serving.py
@@ -27,6 +27,7 @@
 # takes 0.1 ms of processor time, and a router process may have a tenth of a core.
 MAX_ACCEPTS_PER_TURN = 16
 LINGERING_FRACTION = 1 / 8  # share of `max_connections` set aside for those that linger: FIN sent, client's awaited
+STOP_RETRY_US = 5_000  # before connections that wait are accepted again, if no descriptor was free at the stop
 NEW_CONNECTION_GRACE_US = 300_000  # a new connection is not closed sooner: its first request is in transit
 
 
@@ -178,14 +179,17 @@
     def drain(self, until_us: int) -> None:
         """Stop accepting, close idle connections, wait for responses in progress until `until_us`, then abort."""
         self.draining = True
-        self.listener.stop(self._admit)  # connections not yet accepted are admitted, not reset
-        self.close_idle()
         try:
             with self._world.deadline(until_us):
+                while not self.listener.stop(self._admit):  # connections not yet accepted are admitted, not reset
+                    self.close_idle()
+                    self._world.sleep_until(self._world.now_us() + STOP_RETRY_US)
+                self.close_idle()
                 while self._connections:  # one more may have been accepted just before the listener closed
                     next(iter(self._connections)).join()
         except DeadlineExceeded:
             self._aborting = True
+            self.listener.close()
             for task in list(self._connections):
                 task.cancel()
 
@@ -340,8 +344,10 @@
         def check() -> None:
             now = self._world.now_us()
             if exchange.writing_since_us and now - exchange.writing_since_us >= write_stall_us:
-                exchange.client_disconnected()
-                exchange.stream.abort()
+                try:
+                    exchange.client_disconnected()
+                finally:
+                    exchange.stream.abort()
                 return
             cancel[0] = self._world.call_at(now + write_stall_us // 4, check)
 
--- a/yardspindle/runtime/real_sockets.py
+++ b/yardspindle/runtime/real_sockets.py
@@ -34,6 +34,7 @@
     errno.EPERM,
     errno.EINTR,
 )
+CLOSED_LISTENER_ERRNOS = (errno.EBADF, errno.EINVAL, errno.ENOTSOCK)  # no later accept can succeed
 EXHAUSTION_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 ACCEPT_RETRY_US = 50_000  # delay before accept is retried when no descriptor was free, for some connection to close
 
@@ -159,30 +160,39 @@
                 elif error.errno in EXHAUSTION_ERRNOS:
                     if not self._world.free_descriptor(False):
                         self._pause()
-                elif error.errno not in ACCEPT_CONNECTION_ERRNOS:
+                elif error.errno in CLOSED_LISTENER_ERRNOS:
                     raise
+                elif error.errno not in ACCEPT_CONNECTION_ERRNOS:
+                    self._pause()
 
     def _pause(self) -> None:
         self._world.sleep_until(self._world.now_us() + ACCEPT_RETRY_US)
 
-    def stop(self, admit: Callable[[Stream], None]) -> None:
+    def stop(self, admit: Callable[[Stream], None]) -> bool:
         """Stop (Listener); of what connects after the last accept, `close` resets at most the one that is queued."""
         if not self.closed:
             with contextlib.suppress(OSError):
-                self._accept_pending(admit)
+                if not self._accept_pending(admit):
+                    return False
                 self._sock.listen(0)  # the kernel queues one connection and drops other SYNs, which clients resend
-                self._accept_pending(admit)
+                if not self._accept_pending(admit):
+                    return False
             self.close()
+        return True
 
-    def _accept_pending(self, admit: Callable[[Stream], None]) -> None:
+    def _accept_pending(self, admit: Callable[[Stream], None]) -> bool:
+        """Accept all that wait; returns whether none is left, False for lack of a descriptor."""
         while True:
             try:
                 sock, _ = self._sock.accept()
                 admit(RealStream(self._world, sock))
             except OSError as error:
                 if error.errno in WOULD_BLOCK_ERRNOS:
-                    return
-                if error.errno not in ACCEPT_CONNECTION_ERRNOS:
+                    return True
+                if error.errno in EXHAUSTION_ERRNOS:
+                    if not self._world.free_descriptor(True):
+                        return False
+                elif error.errno not in ACCEPT_CONNECTION_ERRNOS:
                     raise
 
     def close(self) -> None:
--- a/yardspindle/runtime/virtual_network.py
+++ b/yardspindle/runtime/virtual_network.py
@@ -298,11 +298,12 @@
         """Wait for a connection and return it (Listener)."""
         return self.queue.get()
 
-    def stop(self, admit: Callable[[Stream], None]) -> None:
+    def stop(self, admit: Callable[[Stream], None]) -> bool:
         """Stop listening and pass connections that were not accepted yet to `admit` (Listener)."""
         for stream in self.queue.drain():
             admit(stream)
         self.close()
+        return True
 
     def close(self) -> None:
         """Stop listening and reset connections that were not accepted yet (Listener)."""
--- a/yardspindle/runtime/world.py
+++ b/yardspindle/runtime/world.py
@@ -70,10 +70,11 @@
     def accept(self) -> Stream:
         """Wait for a connection and return it. Raises Closed."""
 
-    def stop(self, admit: Callable[[Stream], None]) -> None:
+    def stop(self, admit: Callable[[Stream], None]) -> bool:
         """Stop listening; each connection that was established but not yet accepted is passed to `admit`.
 
-        A task that waits in `accept` gets Closed.
+        A task that waits in `accept` gets Closed. False: no descriptor was free for the rest of these connections; they
+        still wait, and the call is to be repeated.
         """
 
     def close(self) -> None:
