Hear signals after a handler that failed; listen again while descriptors are short

Cause: the handlers ran in the task that reads the signals, so one error ended it and SIGTERM and SIGHUP were lost from then on. A start ended with an error when the system's table of files was full for a moment (ENFILE, ENOBUFS). Change: each signal's handler runs in a task of its own; listen is tried for 2 s while the system is short, other errors end the start as before. Tests: test_signals_are_heard_after_a_handler_that_failed, test_a_program_listens_once_the_system_has_descriptors; without the change both fail.

--- a/tests/test_runtime_failures.py
+++ b/tests/test_runtime_failures.py
@@ -67,6 +67,52 @@
     w.run("main", main)
 
 
+def test_a_program_listens_once_the_system_has_descriptors(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a start that fails as the system's table of files is full for a moment."""
+    w = world()
+
+    def main() -> None:
+        with monkeypatch.context() as patch:
+            patch.setattr(socket, "socket", failing(socket.socket, errno.ENFILE, errno.ENOBUFS))
+            w.listen("127.0.0.1", 0).close()
+        with pytest.raises(OSError, match="Cannot assign"):
+            w.listen("192.0.2.1", 0)
+
+    w.run("main", main)
+
+
+def test_signals_are_heard_after_a_handler_that_failed() -> None:
+    """Guards against SIGTERM and SIGHUP being lost after one handler has failed."""
+    w, crashes = world(), []
+    w.scheduler.on_crash = lambda task, error: crashes.append(error)
+    heard: list[int] = []
+
+    def main() -> None:
+        second = w.signal()
+
+        def handle() -> None:
+            heard.append(1)
+            if len(heard) == 1:
+                raise MemoryError
+            second.set()
+
+        w.on_signals({signal.SIGHUP: handle})
+        w.scheduler.yield_now()
+        os.kill(os.getpid(), signal.SIGHUP)
+        with w.deadline(w.now_us() + WAIT_US):
+            while not crashes:
+                w.sleep_until(w.now_us() + 1_000)
+            os.kill(os.getpid(), signal.SIGHUP)
+            second.wait()
+
+    before = signal.getsignal(signal.SIGHUP)
+    try:
+        w.run("main", main)
+    finally:
+        signal.signal(signal.SIGHUP, before)
+    assert [type(error) for error in crashes] == [MemoryError]
+
+
 def test_a_timer_that_fails_keeps_no_other_one_from_firing() -> None:
     """Guards against the error of one timer ending the event loop, and the process with it."""
     w = world()
--- a/yardspindle/runtime/real.py
+++ b/yardspindle/runtime/real.py
@@ -41,6 +41,9 @@
     import zmq
 
 T = TypeVar("T")
+# A program that starts while the system is short of descriptors or buffers tries for so long to listen.
+LISTEN_RETRY_LIMIT_US = 2_000_000
+LISTEN_RETRY_PAUSE_US = 20_000
 
 
 class RealWorld:
@@ -103,6 +106,16 @@
 
     def listen(self, host: str, port: int, backlog: int = 512) -> Listener:
         """Listen on an address; port 0: any free port (World)."""
+        until_us = self.now_us() + LISTEN_RETRY_LIMIT_US
+        while True:
+            try:
+                return self._listen(host, port, backlog)
+            except OSError as error:
+                if error.errno not in EXHAUSTION_ERRNOS or self.now_us() >= until_us:
+                    raise
+            self.sleep_until(self.now_us() + LISTEN_RETRY_PAUSE_US)
+
+    def _listen(self, host: str, port: int, backlog: int) -> Listener:
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         sock = socket.socket(family, socket.SOCK_STREAM)
         try:
@@ -236,8 +249,8 @@
                     self.poller.block(self.scheduler, reader, READ_MASK)
                     with contextlib.suppress(BlockingIOError):
                         for number in os.read(reader, 64):
-                            if number in handlers:
-                                handlers[signals.Signals(number)]()
+                            if number in handlers:  # in a task each: an error in one must not end the watch
+                                self.spawn("signal", handlers[signals.Signals(number)])
             finally:
                 signals.set_wakeup_fd(-1)
                 os.close(reader)
