Keep the fleet's leases and the store when a file cannot be read or a rollback fails

Cause: EmbeddedStore took any error in reading the boot id for a system without one; with an empty id the process then ended the leases of all others as those of an earlier boot. A rollback that failed raised sqlite3's own error, and each later call began a transaction inside the open one, for good. Change: only a missing file counts as none, another error refuses the store with the reason; begin and reads end a transaction that is still open, and a rollback's errors are the store's. Tests: test_a_store_whose_boot_cannot_be_told_is_not_used, test_a_transaction_whose_rollback_failed_ends_before_the_next; both fail without the change.

--- /dev/null
+++ b/tests/test_fleet_shortage.py
@@ -0,0 +1,54 @@
+"""Joining the fleet and following cache events while the system is short of descriptors."""
+
+from __future__ import annotations
+
+import errno
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.test_runtime import world
+from tests.test_runtime_failures import failing
+from yardspindle.core.config import FleetConfig
+from yardspindle.core.hosts.directory import Server
+from yardspindle.core.prefix.prefix_tracker import PrefixTracker
+from yardspindle.core.prefix.tokenizer import ByteTokenizer
+from yardspindle.edge.cache_events import CacheEventSubscriber
+from yardspindle.fleet.membership import join_fleet
+from yardspindle.fleet.store.embedded import BOOT_ID_PATH, EmbeddedStore
+from yardspindle.fleet.store.interface import StoreError
+from yardspindle.interface import Role, State
+from yardspindle.runtime.database import SqliteDatabase
+from yardspindle.runtime.real import RealWorld
+from yardspindle.runtime.world import DatabaseError
+
+WAIT_US = 10_000_000
+
+
+def test_a_store_whose_boot_cannot_be_told_is_not_used(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a process that ends all leases of the fleet, as it could not read which boot they are of."""
+    w, path = world(), str(tmp_path / "store")
+    read_file = w.read_file
+
+    def main() -> None:
+        store = EmbeddedStore(w, path, WAIT_US)
+        lease = store.grant(60_000_000).lease
+        monkeypatch.setattr(w, "read_file", failing(read_file, errno.EMFILE))
+        with pytest.raises(StoreError, match=BOOT_ID_PATH):
+            EmbeddedStore(w, path, WAIT_US)
+        EmbeddedStore(w, path, WAIT_US).range(b"a")
+        assert store.remaining_ttl_us(lease) > 0
+
+    w.run("main", main)
+
+
+def test_a_transaction_whose_rollback_failed_ends_before_the_next(tmp_path: Path) -> None:
+    """Guards against a store that no call can use any more after one rollback that failed."""
+    database = SqliteDatabase(str(tmp_path / "store"))
+    database.begin()  # as it stays open when the rollback fails
+    database.begin()
+    database.commit()
+    with pytest.raises(DatabaseError):
+        database.run("COMMIT")
+    database.close()
--- a/yardspindle/fleet/store/embedded.py
+++ b/yardspindle/fleet/store/embedded.py
@@ -68,8 +68,10 @@
         self._world, self._path, self._call_us = world, path, call_us
         try:
             self._boot_id = world.read_file(BOOT_ID_PATH).decode().strip()
-        except OSError:
-            self._boot_id = ""  # unknown: leases then outlast a reboot until the uptime reaches their end
+        except FileNotFoundError:
+            self._boot_id = ""  # none on this system: leases then outlast a reboot until the uptime reaches their end
+        except OSError as error:  # with another id than the other processes this one would end their leases
+            raise StoreError(f"{BOOT_ID_PATH}: {error.strerror}") from None
         self.last_revision = 0
         self.call_count = 0
         self._refusal_reason = ""  # why this store must no longer be used; empty while it may
@@ -157,6 +159,7 @@
         """End expired leases, then read within one transaction, so that all of a read sees one state of the store."""
         if self._has_expired_leases():
             self._run_write(lambda: None)
+        self._db.roll_back()  # one that could not be rolled back when it failed
         self._db.run("BEGIN")
         try:
             return operation()
--- a/yardspindle/runtime/database.py
+++ b/yardspindle/runtime/database.py
@@ -42,6 +42,7 @@
 
     def begin(self) -> None:
         """Start a write transaction. Raises DatabaseBusy, DatabaseError."""
+        self.roll_back()  # one that could not be rolled back when it failed
         self.run("BEGIN IMMEDIATE")
 
     def commit(self) -> None:
@@ -49,9 +50,9 @@
         self.run("COMMIT")
 
     def roll_back(self) -> None:
-        """Roll back the open transaction, if any."""
+        """Roll back the open transaction, if any. Raises DatabaseBusy, DatabaseError."""
         if self._connection.in_transaction:
-            self._connection.execute("ROLLBACK")
+            self.run("ROLLBACK")
 
     def close(self) -> None:
         """Close the file."""
