Join the fleet once the store can be opened, in place of trying once

Cause: join_fleet logged the error and ended; an edge or planner whose store or page could not be opened at its start stayed outside its fleet for good. Change: it tries again after 0.1 s, doubled up to 5 s; each reason is logged once. Test: test_a_program_joins_its_fleet_once_the_store_can_be_opened; fails without the change.

--- a/tests/test_fleet_shortage.py
+++ b/tests/test_fleet_shortage.py
@@ -43,6 +43,24 @@
     w.run("main", main)
 
 
+def test_a_program_joins_its_fleet_once_the_store_can_be_opened(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a program that stays outside its fleet for good, as the store could not be opened at its start."""
+    w = world()
+    config = FleetConfig(store=(f"file:{tmp_path / 'store'}",), listen="127.0.0.1:0")
+
+    def main() -> None:
+        monkeypatch.setattr(w, "database", failing(w.database, errno.EMFILE))
+        with w.deadline(w.now_us() + WAIT_US):
+            join_fleet(w, config, "edge", "edge0", "1", "a", "0")
+            store = EmbeddedStore(w, str(tmp_path / "store"), WAIT_US)
+            while not store.range(b"", b"\xff").rows:
+                w.sleep_until(w.now_us() + 10_000)
+
+    w.run("main", main)
+
+
 def test_a_transaction_whose_rollback_failed_ends_before_the_next(tmp_path: Path) -> None:
     """Guards against a store that no call can use any more after one rollback that failed."""
     database = SqliteDatabase(str(tmp_path / "store"))
--- a/yardspindle/fleet/membership.py
+++ b/yardspindle/fleet/membership.py
@@ -28,6 +28,9 @@
 LEASE_NOT_FOUND = "requested lease not found"  # etcd's error message, which the embedded store also uses
 RETRY_FRACTION = 1 / 12  # of the time to live: the pause after a failed call; doubled up to the keep-alive interval
 
+MIN_JOIN_RETRY_PAUSE_US = 100_000  # before a program that could not open the store or its page tries again
+MAX_JOIN_RETRY_PAUSE_US = 5_000_000
+
 log = structlog.get_logger("yardspindle.fleet")
 
 
@@ -191,14 +194,19 @@
 
 
 def join_fleet(world: World, config: FleetConfig, kind: Kind, name: str, epoch: str, zone: str, version: str) -> None:
-    """Register a program that does not depend on the store: an unusable store is logged and never waited for."""
+    """Register a program that does not depend on the store: an unusable store is logged and tried again."""
     if not config.store:
         return
     host, port = split_address(config.listen)
-    try:
-        Membership(world, config, open_store(world, config), kind, config.member or name, epoch, zone, version).start(
-            host, port
-        )
-    except (StoreError, OSError) as error:
-        # The program runs on without the fleet; it does not try to join again.
-        log.error("not a member of its fleet", kind=kind, store=list(config.store), reason=str(error))
+    pause_us, logged_reason = MIN_JOIN_RETRY_PAUSE_US, ""
+    while True:
+        try:
+            store = open_store(world, config)
+            return Membership(world, config, store, kind, config.member or name, epoch, zone, version).start(host, port)
+        except (StoreError, OSError) as error:
+            if str(error) != logged_reason:
+                logged_reason = str(error)
+                # The program runs on without the fleet meanwhile.
+                log.error("not a member of its fleet", kind=kind, store=list(config.store), reason=logged_reason)
+        world.sleep_until(world.now_us() + pause_us)
+        pause_us = min(2 * pause_us, MAX_JOIN_RETRY_PAUSE_US)
