Follow cache events once a socket is free; the edge lost its planner for good

Cause: a subscription without a free descriptor raised zmq's own error (opening) or OSError in the handler of the planner's list, which ended the task of the planner link: the edge had no planner any more. A replay that could not be opened left its reader marked as replaying for good. Change: errors of opening are OSError; the subscription's task tries every 0.5 s; a replay that cannot be opened ends without batches, and the next gap starts another. Test: test_cache_events_are_followed_once_a_socket_is_free; fails without the change. The replay has no test.

--- a/tests/test_fleet_shortage.py
+++ b/tests/test_fleet_shortage.py
@@ -70,3 +70,30 @@
     with pytest.raises(DatabaseError):
         database.run("COMMIT")
     database.close()
+
+
+def test_cache_events_are_followed_once_a_socket_is_free(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against the edge losing its planner for good, as a subscription found no free descriptor."""
+    w = world()
+    opened: list[tuple[Any, ...]] = []
+    original = w.message_socket
+
+    def message_socket(*args: Any) -> Any:
+        opened.append(args)
+        return original(*args)
+
+    def main() -> None:
+        monkeypatch.setattr(w, "message_socket", failing(message_socket, errno.EMFILE))
+        publisher = original("pub", "127.0.0.1", 0)
+        tracker = PrefixTracker(ByteTokenizer(), 16, 1_000, use_estimates=False, use_events=True)
+        server = Server(1, "r1", "127.0.0.1", 1, Role.READ, State.SERVING, False, events=f"127.0.0.1:{publisher.port}")
+        subscriber = CacheEventSubscriber(w, tracker)
+        subscriber.update_servers([server])
+        with w.deadline(w.now_us() + WAIT_US):
+            while not opened:
+                w.sleep_until(w.now_us() + 10_000)
+        subscriber.update_servers([])
+        publisher.close()
+
+    w.run("main", main)
+    assert isinstance(w, RealWorld) and opened[0][0] == "sub"
--- a/yardspindle/edge/cache_events.py
+++ b/yardspindle/edge/cache_events.py
@@ -19,6 +19,7 @@
 
 REPLAY_TIMEOUT_US = 1_000_000  # a replay that brings no message for this long has ended
 MAX_REPLAY_BATCHES = 20_000  # batches (messages with some events each) accepted from one replay
+SUBSCRIBE_RETRY_US = 500_000  # between two tries to open a subscription
 SEQUENCE_NUMBER_BYTES = 8
 
 log = structlog.get_logger("yardspindle.edge.events")
@@ -32,7 +33,7 @@
         self._world = world
         self._tracker = tracker
         # By server name; the addresses are those of the event socket and of the replay socket.
-        self._subscriptions: dict[str, tuple[str, str | None, Task, MessageSocket]] = {}
+        self._subscriptions: dict[str, tuple[str, str | None, Task]] = {}
         self._replaying: set[str] = set()
         self._up_since_ms: dict[str, float] = {}
         self.malformed_count = 0
@@ -40,10 +41,9 @@
     def update_servers(self, servers: list[Server]) -> None:
         """Apply a new server list: subscribe to the publishers on it, unsubscribe from all others."""
         publishing = {s.name: s for s in servers if s.events is not None} if self._tracker.use_events else {}
-        for name, (events_address, replay_address, task, socket) in list(self._subscriptions.items()):
+        for name, (events_address, replay_address, task) in list(self._subscriptions.items()):
             server = publishing.get(name)
             if server is None or (server.events, server.replay) != (events_address, replay_address):
-                socket.close()
                 task.cancel()
                 del self._subscriptions[name]
                 self._tracker.subscription_lost(self._world.now_us(), name)
@@ -54,9 +54,27 @@
         self._tracker.set_publishers(publishing)
         for name, server in publishing.items():
             if name not in self._subscriptions and server.events is not None:
-                socket = self._world.message_socket("sub", *split_address(server.events))
-                task = self._world.spawn("cache events", self._receive_events, name, socket, server.replay)
-                self._subscriptions[name] = (server.events, server.replay, task, socket)
+                task = self._world.spawn_service("cache events", self._follow, name, server.events, server.replay)
+                self._subscriptions[name] = (server.events, server.replay, task)
+
+    def _follow(self, name: str, events_address: str, replay_address: str | None) -> None:
+        socket = self._subscribe(name, events_address)
+        try:
+            self._receive_events(name, socket, replay_address)
+        finally:
+            socket.close()
+
+    def _subscribe(self, name: str, address: str) -> MessageSocket:
+        """Open the subscription; without it the server's cache would stay unknown, so tries until a socket is free."""
+        logged_reason = ""
+        while True:
+            try:
+                return self._world.message_socket("sub", *split_address(address))
+            except OSError as error:
+                if str(error) != logged_reason:
+                    logged_reason = str(error)
+                    log.error("cache events cannot be followed yet", server=name, reason=logged_reason)
+            self._world.sleep_until(self._world.now_us() + SUBSCRIBE_RETRY_US)
 
     def _receive_events(self, name: str, socket: MessageSocket, replay_address: str | None) -> None:
         while True:
@@ -74,7 +92,13 @@
 
     def _replay(self, name: str, address: str, start: int) -> None:
         batches: list[tuple[int, Batch]] = []
-        socket = self._world.message_socket("dealer", *split_address(address))
+        try:
+            socket = self._world.message_socket("dealer", *split_address(address))
+        except OSError as error:  # the next gap in the numbers starts another replay
+            log.error("cache events cannot be replayed now", server=name, reason=str(error))
+            self._replaying.discard(name)
+            self._tracker.receive_replay(self._world.now_us(), name, batches)
+            return
         try:
             socket.send([b"", start.to_bytes(SEQUENCE_NUMBER_BYTES, "big")])
             while len(batches) < MAX_REPLAY_BATCHES:
--- a/yardspindle/runtime/zeromq.py
+++ b/yardspindle/runtime/zeromq.py
@@ -33,7 +33,10 @@
     ) -> None:
         """Connect (`sub`, `dealer`) or bind (`pub`, `router`); port 0 binds to a free port. Raises OSError."""
         self._scheduler, self._poller = scheduler, poller
-        self._socket = context.socket(KINDS[kind])
+        try:
+            self._socket = context.socket(KINDS[kind])
+        except zmq.ZMQError as error:  # no descriptor is free
+            raise OSError(error.errno, error.strerror) from None
         self._socket.setsockopt(zmq.LINGER, 0)
         self._socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
         self._socket.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
