Take no lack of descriptors or processes for the end of a unit or a failed order

Cause: an unknown was turned into no. While no descriptor was free, start_ticks_of and wait said that the unit had ended (a second copy was started beside it, a stop was told as done), a signal was dropped, find overlooked a running start. EAGAIN or EMFILE at a command refused its order for good, and EMFILE in Child.wait ended the command's task without a result. Change: only ENOENT, ESRCH and EACCES mean that there is no such process; a process that cannot be looked at counts as running; pidfd_open and starts are tried again while the system is short, within the time of the order.

--- a/yardspindle/runtime/detached_process.py
+++ b/yardspindle/runtime/detached_process.py
@@ -15,6 +15,7 @@
 from collections.abc import Sequence
 
 from yardspindle.runtime.poller import READ_MASK
+from yardspindle.runtime.process import open_pidfd
 from yardspindle.runtime.real import RealWorld
 from yardspindle.runtime.scheduler import DeadlineExceeded
 
@@ -22,12 +23,15 @@
 
 
 def start_ticks_of(pid: int) -> int:
-    """Return a process's start time in clock ticks since boot, or 0 if it does not exist or is a zombie."""
+    """Return a process's start time in clock ticks since boot, or 0 if it does not exist or is a zombie.
+
+    Raises OSError if that cannot be told now, as no descriptor is free.
+    """
     try:
         with open(f"/proc/{pid}/stat", "rb") as file:
             # The name, field 2 of proc(5), is in parentheses and may hold spaces: start after it, at field 3.
             fields = file.read().rpartition(b")")[2].split()
-    except OSError:
+    except (FileNotFoundError, ProcessLookupError):
         return 0
     return 0 if fields[0] in (b"Z", b"X") else int(fields[19])  # state and start time: fields 3 and 22
 
@@ -60,43 +64,52 @@
 
     @classmethod
     def find(cls, world: RealWorld, marker: str) -> DetachedProcess | None:
-        """Find a process by its marker, for a program that was killed before it could store the process id."""
+        """Find a process by its marker, for a program that was killed before it could store the process id.
+
+        Raises OSError if a process could not be looked at: it may be the one.
+        """
         wanted, found = f"{MARKER_VARIABLE}={marker}".encode(), []
         for name in os.listdir("/proc"):
-            with contextlib.suppress(OSError):
-                if name.isdigit():
-                    with open(f"/proc/{name}/environ", "rb") as file:
-                        marked = wanted in file.read().split(b"\0")
-                    if marked and (started := start_ticks_of(int(name))):
-                        found.append((started, int(name)))  # its children inherit the marker: take the oldest
+            if not name.isdigit():
+                continue
+            try:
+                with open(f"/proc/{name}/environ", "rb") as file:
+                    marked = wanted in file.read().split(b"\0")
+            except (FileNotFoundError, ProcessLookupError, PermissionError):  # it ended, or is another user's
+                continue
+            if marked and (started := start_ticks_of(int(name))):
+                found.append((started, int(name)))  # its children inherit the marker: take the oldest
         return cls(world, min(found)[1], min(found)[0]) if found else None
 
     def alive(self) -> bool:
-        """Return whether the process is still running."""
+        """Return whether the process is still running; one that cannot be looked at now counts as running."""
         if self._process is not None and self._process.poll() is not None:
             return False
-        return self.start_ticks != 0 and start_ticks_of(self.pid) == self.start_ticks
+        try:
+            return self.start_ticks != 0 and start_ticks_of(self.pid) == self.start_ticks
+        except OSError:
+            return True
 
     def send(self, number: signal.Signals) -> None:
-        """Send a signal to the process; no effect if it has exited."""
-        with contextlib.suppress(OSError):
-            pidfd = os.pidfd_open(self.pid)
-            try:
-                if start_ticks_of(self.pid) == self.start_ticks:
+        """Send a signal to the process; no effect if it has exited. Waits while no descriptor is free."""
+        pidfd = open_pidfd(self._world, self.pid)
+        if pidfd is None:
+            return
+        try:
+            if self.alive():
+                with contextlib.suppress(ProcessLookupError):
                     signal.pidfd_send_signal(pidfd, number)
-            finally:
-                os.close(pidfd)
+        finally:
+            os.close(pidfd)
 
     def wait(self, until_us: int) -> bool:
         """Wait for the process to exit; return whether it exited by the deadline."""
+        pidfd = None
         try:
-            pidfd = os.pidfd_open(self.pid)
-        except OSError:
-            return True
-        try:
-            if not self.alive():
-                return True
             with self._world.deadline(until_us):
+                pidfd = open_pidfd(self._world, self.pid)
+                if pidfd is None or not self.alive():
+                    return True
                 self._world.poller.block(self._world.scheduler, pidfd, READ_MASK)
             if self._process is not None:
                 self._process.poll()
@@ -104,4 +117,5 @@
         except DeadlineExceeded:
             return False
         finally:
-            os.close(pidfd)
+            if pidfd is not None:
+                os.close(pidfd)
--- a/yardspindle/runtime/process.py
+++ b/yardspindle/runtime/process.py
@@ -6,15 +6,49 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import signal
 import subprocess
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from typing import TypeVar
 
 from yardspindle.runtime.poller import READ_MASK
 from yardspindle.runtime.real import RealWorld
+from yardspindle.runtime.real_sockets import EXHAUSTION_ERRNOS
 from yardspindle.runtime.scheduler import DeadlineExceeded
 
+T = TypeVar("T")
+
+
+# The system lacks descriptors, memory or processes at the moment; the same call can succeed later.
+SHORTAGE_ERRNOS = (*EXHAUSTION_ERRNOS, errno.EAGAIN)
+SHORTAGE_RETRY_US = 20_000
+
+
+def open_pidfd(world: RealWorld, pid: int) -> int | None:
+    """Open a descriptor of a process, None if there is no such process; waits while the system has none free."""
+    while True:
+        try:
+            return os.pidfd_open(pid)
+        except ProcessLookupError:
+            return None
+        except OSError as error:
+            if error.errno not in SHORTAGE_ERRNOS:
+                raise
+        world.sleep_until(world.now_us() + SHORTAGE_RETRY_US)
+
+
+def retry_while_short(world: RealWorld, until_us: int, start: Callable[[], T]) -> T:
+    """Start a process; tries again until `until_us` while the system is short of what that needs. Raises OSError."""
+    while True:
+        try:
+            return start()
+        except OSError as error:
+            if error.errno not in SHORTAGE_ERRNOS or world.now_us() >= until_us:
+                raise
+        world.sleep_until(world.now_us() + SHORTAGE_RETRY_US)
+
 
 class ChildError(Exception):
     """The child exited or timed out before it reported that it was ready."""
@@ -79,14 +113,17 @@
     def wait(self, until_us: int) -> int | None:
         """Wait for the process to exit; return its exit code, or None if it is still running at the deadline."""
         if self._process.poll() is None:
-            pidfd = os.pidfd_open(self.pid)
+            pidfd = None
             try:
                 with self._world.deadline(until_us):
-                    self._world.poller.block(self._world.scheduler, pidfd, READ_MASK)
+                    pidfd = open_pidfd(self._world, self.pid)
+                    if pidfd is not None:
+                        self._world.poller.block(self._world.scheduler, pidfd, READ_MASK)
             except DeadlineExceeded:
                 return None
             finally:
-                os.close(pidfd)
+                if pidfd is not None:
+                    os.close(pidfd)
         code = self._process.wait()
         if self._process.stdout is not None and self._stdout >= 0:
             self._world.poller.unregister(self._stdout)  # wakes a task in `first_line`
--- a/yardspindle/unit/runner.py
+++ b/yardspindle/unit/runner.py
@@ -10,7 +10,7 @@
 
 from yardspindle.core.fleet.unit import UnitFile
 from yardspindle.runtime.detached_process import DetachedProcess
-from yardspindle.runtime.process import Child, ChildError
+from yardspindle.runtime.process import Child, ChildError, retry_while_short
 from yardspindle.runtime.real import RealWorld
 from yardspindle.runtime.scheduler import DeadlineExceeded
 
@@ -44,10 +44,13 @@
         `mark`: the id of this start, which the process carries in its environment. A running process that carries it is
         taken over; there is one if a supervisor was killed after starting it and before storing its process id."""
         argv = [part.replace("{version}", version) for part in self._file.run]
+
+        def find_or_start() -> DetachedProcess:
+            return DetachedProcess.find(self._world, mark) or DetachedProcess.start(self._world, argv, self._log, mark)
+
         try:
-            self._service = DetachedProcess.find(self._world, mark) or DetachedProcess.start(
-                self._world, argv, self._log, mark
-            )
+            until_us = self._world.now_us() + round(self._file.start_s * 1e6)
+            self._service = retry_while_short(self._world, until_us, find_or_start)
         except OSError as error:
             log.error("unit could not be started", reason=str(error))
             return 127
@@ -75,7 +78,7 @@
         argv = [part.replace("{version}", version) for part in command]
         deadline_us, line = self._world.now_us() + round(timeout_s * 1e6), ""
         try:
-            child = Child(self._world, command[0], argv, self._log)
+            child = retry_while_short(self._world, deadline_us, lambda: Child(self._world, command[0], argv, self._log))
         except OSError as error:
             log.error("command could not be run", command=command[0], reason=str(error))
             return 127, b""
