Save a unit's state once the disk takes it, and write files whole

Cause: an error of the state file (ENOSPC, EIO) ended the task of the orders or of the command; a short write was taken for a whole one, and replace_file then put a file without its end in place. Change: the state is written again every 0.1 s, the newest one, and nothing that depends on it is begun before; a command whose task fails runs again; all bytes are written. Tests: test_files_are_written_whole_though_single_writes_are_short, test_state_that_cannot_be_saved_is_saved_later; without the change both fail.

--- a/tests/test_unit_shortage.py
+++ b/tests/test_unit_shortage.py
@@ -100,3 +100,26 @@
             return child.wait(w.now_us() + 5_000_000)
 
     assert w.run("main", main) == -signal.SIGTERM
+
+
+def test_files_are_written_whole_though_single_writes_are_short(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a state file that lacks its end."""
+    w, write = world(), os.write
+    monkeypatch.setattr(os, "write", lambda descriptor, data: write(descriptor, data[:3]))
+    w.replace_file(str(tmp_path / "state"), b"0123456789")
+    w.append_file(str(tmp_path / "state"), b"abcdef")
+    assert (tmp_path / "state").read_bytes() == b"0123456789abcdef"
+
+
+def test_state_that_cannot_be_saved_is_saved_later(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against the task of the orders ending at a full disk; the order is not begun before it is saved."""
+    w, file = world(), unit_file(tmp_path)
+    supervisor = UnitSupervisor.__new__(UnitSupervisor)
+    supervisor.world, supervisor.file, supervisor.runner = w, file, ProcessRunner(w, file)
+    saved = unit_control.SavedState("1", number=7)
+    supervisor.state = unit_control.UnitState(file, saved)
+    monkeypatch.setattr(w, "replace_file", failing(w.replace_file, errno.ENOSPC, errno.EIO))
+    w.run("main", lambda: supervisor._save(saved))
+    assert b'"number":7' in Path(file.state).read_bytes()
--- a/yardspindle/runtime/real.py
+++ b/yardspindle/runtime/real.py
@@ -193,10 +193,10 @@
                     raise
 
     def append_file(self, path: str, data: bytes) -> None:
-        """Append to a file with a single write (World)."""
+        """Append to a file, with a single write unless that one is short (World)."""
         descriptor = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
         try:
-            os.write(descriptor, data)
+            _write_all(descriptor, data)
         finally:
             os.close(descriptor)
 
@@ -204,7 +204,7 @@
         """Replace a file atomically (World)."""
         descriptor = os.open(path + ".new", os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
         try:
-            os.write(descriptor, data)
+            _write_all(descriptor, data)
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
@@ -257,3 +257,10 @@
                 os.close(writer)
 
         self.spawn("signals", watch)
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    """Write all data: a single write may be short, for example as the disk fills up. Raises OSError."""
+    rest = memoryview(data)
+    while rest:
+        rest = rest[os.write(descriptor, rest) :]
--- a/yardspindle/runtime/world.py
+++ b/yardspindle/runtime/world.py
@@ -180,7 +180,7 @@
         """Read up to `max_bytes` of a file (-1: all); on a pipe, do not wait for a writer. Raises OSError."""
 
     def append_file(self, path: str, data: bytes) -> None:
-        """Append to a file with a single write. Raises OSError."""
+        """Append to a file, with a single write unless that one is short. Raises OSError."""
 
     def replace_file(self, path: str, data: bytes) -> None:
         """Replace a file atomically, synced to disk on return: readers see the old or the new content, never a part."""
--- a/yardspindle/unit/app.py
+++ b/yardspindle/unit/app.py
@@ -32,6 +32,7 @@
 PROCESS_POLL_US = 100_000  # how often it is checked whether the unit's process still runs
 STATUS_POLL_US = 50_000  # how often the status is compared with the published one
 CHECK_INTERVAL_US = 500_000  # between two check commands
+SAVE_RETRY_US = 100_000  # between two tries to write the state file
 METRICS_INTERVAL_US = 1_000_000  # minimum time between status updates in which only metrics differ
 
 log = structlog.get_logger("yardspindle.unit")
@@ -155,14 +156,21 @@
                         version=self.state.saved.version,
                         number=self.state.saved.number,
                     )
-                    self.world.spawn(what, self._run_command, what)
+                    self.world.spawn_service(what, self._run_command, what)
 
     def _save(self, saved: unit_control.SavedState) -> None:
-        """Replaces the state file atomically."""
+        """Replaces the state file atomically. Nothing that depends on it is done before it is written."""
         pid, born = self.runner.id()
-        saved = replace(saved, pid=pid, born=born)
-        self.state = unit_control.with_changes(self.state, saved=saved)
-        self.world.replace_file(self.file.state, msgspec.json.encode(saved))
+        self.state = unit_control.with_changes(self.state, saved=replace(saved, pid=pid, born=born))
+        logged_reason = ""
+        while True:
+            try:  # the newest state: another task may have changed it during a pause
+                return self.world.replace_file(self.file.state, msgspec.json.encode(self.state.saved))
+            except OSError as error:
+                if str(error) != logged_reason:
+                    logged_reason = str(error)
+                    log.error("unit state could not be saved; retrying", reason=logged_reason)
+            self.world.sleep_until(self.world.now_us() + SAVE_RETRY_US)
 
     def _poll_orders(self) -> None:
         key = self.keys.row_key("orders", self.file.name)
