Report the end of an attempt whose task fails; let no log end the task that writes it

Cause: an unforeseen error in an attempt's task (no memory) was logged, but the core never heard of the attempt's end: the request was answered at its deadline, 504. An error of standard error (full disk, closed pipe) ended the edge's, planner's, steward's or unit's task that logged; the dispatcher's own log drops such errors already. Change: the attempt ends with status error, as one that may have run; the log's file drops errors of writing. Tests: test_a_request_goes_on_after_an_attempt_whose_task_failed (504 without the change), test_a_log_that_cannot_be_written_ends_nothing (OSError without it). Calls for places whose task fails are not mended: the request goes on without the place's answer.

--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import errno
+import sys
 from collections.abc import Callable
 from typing import Any
 
 import pytest
+import structlog
 
-from tests.platform_standin import Platform
+from tests.platform_standin import Answer, Platform
+from yardspindle.cli.common import configure_logging
+from yardspindle.core.config import LogConfig
 from yardspindle.core.request.commands import Command
 from yardspindle.node.app import Node
 from yardspindle.runtime.scheduler import Cancelled, Task
@@ -128,3 +133,36 @@
         return len(checks_us)
 
     assert run_with_failure(main, "tick") > 1
+
+
+def test_a_request_goes_on_after_an_attempt_whose_task_failed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an attempt whose end is not reported: its request was answered at its deadline only."""
+    sim = Simulation(3)
+
+    def main() -> Answer:
+        platform = Platform(sim)
+        _, node = platform.node()
+        hosts = node.executor._hosts
+        monkeypatch.setattr(hosts, "send", failing(hosts.send, 1))
+        return platform.ask(b"9b1f03aa5c7e2d41", deadline_ms=5_000)
+
+    answer = sim.run("main", main)
+    assert answer.status == 200 and answer.took_us < 1_000_000 and not sim.crashes
+
+
+def test_a_log_that_cannot_be_written_ends_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a task that ends as the disk of its log is full."""
+
+    class FullDisk:
+        def write(self, _: str) -> None:
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+        def flush(self) -> None:
+            self.write("")
+
+    monkeypatch.setattr(sys, "stderr", FullDisk())
+    try:
+        configure_logging(LogConfig())
+        structlog.get_logger("test").error("x")
+    finally:
+        structlog.reset_defaults()
--- a/yardspindle/cli/common.py
+++ b/yardspindle/cli/common.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import os
 import sys
 from collections.abc import Callable
+from typing import TextIO, cast
 
 import click
 import structlog
@@ -26,6 +28,18 @@
         click.echo(self.message, err=True)
 
 
+class _LogFile:
+    """Standard error without its errors: a log that cannot be written must not end the task that logs."""
+
+    def write(self, text: str) -> None:
+        with contextlib.suppress(OSError, ValueError):
+            sys.stderr.write(text)
+
+    def flush(self) -> None:
+        with contextlib.suppress(OSError, ValueError):
+            sys.stderr.flush()
+
+
 def configure_logging(config: LogConfig) -> None:
     """Send structured logs to standard error."""
     renderer: structlog.typing.Processor = (
@@ -39,7 +53,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[config.level]),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=cast(TextIO, _LogFile())),
         cache_logger_on_first_use=True,
     )
 
--- a/yardspindle/node/executor.py
+++ b/yardspindle/node/executor.py
@@ -54,7 +54,7 @@
         self._events: deque[i.Event] = deque()
         self._deciding = False
         self._timer_us = 0  # when the pending timer is due; 0: none is set
-        self._cancel_timer: Callable[[], None] = _no_op
+        self._cancel_timer: Callable[[], None] = lambda: None
 
     def perform(self, commands: list[c.Command]) -> None:
         """Carry out commands in order, then let the policy handle the events that they queued."""
@@ -97,8 +97,8 @@
         self._timer_us = 0
 
         def decide() -> None:
-            self._deciding = True
             try:
+                self._deciding = True
                 self._apply_decisions(self._session.tick(self._world.now_us()))
             finally:
                 self._deciding = False
@@ -164,6 +164,8 @@
         """The task of an attempt: make it, log a failure, and report its result to the core."""
         try:
             result = self._run_attempt(command, running)
+        except Exception as fault:  # for example no memory: it may have run, and its end must be reported all the same
+            result = AttemptResult(i.Status.ERROR, detail=f"{type(fault).__name__}: {fault}")
         finally:
             signal = running.read_written.pop(command.attempt, None)
             if signal is not None:
@@ -317,7 +319,7 @@
 
     def _guard_unresponsive(self, running: RunningRequest, stream: ResponseStream) -> Callable[[], None]:
         """Abort a stream that brings nothing for too long, without a timer for each event."""
-        cancel: list[Callable[[], None]] = [_no_op]
+        cancel: list[Callable[[], None]] = [lambda: None]
 
         def check() -> None:
             now = self._world.now_us()
@@ -392,9 +394,5 @@
             self.request_ids.pop(request, None)
 
 
-def _no_op() -> None:
-    pass
-
-
 def _stage(server: Server) -> str:
     return "prefill" if server.role is i.Role.READ else "decode"
