Follow a planted fault to the file that its line moved to

Change: the path. Line, replacement and expected break are as before. Result: tests/test_planted_crossings.py passes.

--- a/tests/planted_crossings.py
+++ b/tests/planted_crossings.py
@@ -57,7 +57,7 @@
         "released during its read",
     ),
     "idle_connections_are_reused_unchecked": Plant(
-        "runtime/real.py",
+        "runtime/real_sockets.py",
         "self._sock.recv(1, socket.MSG_PEEK)",
         "return True",
         lambda stage: hosts.second_answer(stage, "read", "first", rested=True),
