Start once the configuration can be read, for a second, while the system is short

Cause: the first read of the configuration was tried once; a full table of files (ENFILE) or no memory for a moment ended the start with exit status 2. Change: such errors of the system are tried again for 1 s; a file that is missing or invalid ends the start at once, as before. The handlers of signals allow for a start that still reads. Test: test_a_start_goes_on_once_the_system_can_open_files; fails without the change.

--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -221,3 +221,38 @@
             process.kill()
             process.communicate()
             reserved.close()
+
+
+FILES_SHORT_AT_START = """
+import errno, os, sys
+from yardspindle.node.__main__ import main
+from yardspindle.runtime.real import RealWorld
+
+def read_file(world, path, max_bytes):
+    codes.pop(0) if codes else None
+    if codes:
+        raise OSError(codes[0], os.strerror(codes[0]))
+    return original(world, path, max_bytes)
+
+codes = [0, errno.ENFILE, errno.ENOMEM]
+original, RealWorld.read_file = RealWorld.read_file, read_file
+sys.exit(main())
+"""
+
+
+def test_a_start_goes_on_once_the_system_can_open_files(tmp_path: Path) -> None:
+    """Guards against a start that is refused as the system's table of files is full for a moment."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({"settings": SETTINGS}))
+    with socket.create_server(("127.0.0.1", 0)) as agent:
+        agent.settimeout(20)
+        reserved = reserve_port()
+        address = f"127.0.0.1:{agent.getsockname()[1]}"
+        command = (sys.executable, "-c", FILES_SHORT_AT_START)
+        process = start_process(str(path), f"127.0.0.1:{port_of(reserved)}", address, *command)
+        try:
+            agent.accept()[0].close()  # it follows discovery: it has started
+        finally:
+            process.kill()
+            process.communicate()
+            reserved.close()
--- a/yardspindle/node/__main__.py
+++ b/yardspindle/node/__main__.py
@@ -46,12 +46,15 @@
     in what is read or causes a reload. Until then SIGHUP is ignored, as the command in deploy/balancer.toml sees to.
     """
 
-    # The handlers run in tasks of their own, at the earliest when this one first waits: `node` is set by then.
+    node: Node | None = None
+
     def apply(config: NodeConfig) -> None:
-        node.reload(config)
+        if node is not None:  # otherwise the start is still to read the file
+            node.reload(config)
 
     def stop() -> None:
-        node.stop()  # the health check fails from now on; the main task then drains
+        if node is not None:
+            node.stop()  # the health check fails from now on; the main task then drains
         world.stop.set()
 
     def read() -> NodeConfig:
@@ -61,7 +64,9 @@
     world.scheduler.on_crash = log_crash
     world.scheduler.on_timer_error = log.timer_failed
     world.on_signals({signal.SIGTERM: stop, signal.SIGINT: stop, signal.SIGHUP: reload.request})
-    node = Node(world, read())
+    node = Node(world, reload.read_at_start())
+    if world.stop.is_set:
+        node.stop()
     node.start()
     if not world.stop.is_set:
         gc.collect()  # with `freeze`: later collections, which block all tasks, skip the objects made at the start
--- a/yardspindle/node/config.py
+++ b/yardspindle/node/config.py
@@ -26,6 +26,7 @@
 
 VARIABLES = ("ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG")
 MAX_CONFIG_BYTES = 16_777_216  # room for a list of a hundred thousand hosts; a larger file is an error
+TRANSIENT_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EIO, errno.EAGAIN)
 MAX_REASON_CHARS = 300  # keeps an error to one line, whatever the file holds
 
 
@@ -37,6 +38,11 @@
         super().__init__(f"{path}: {reason}")
         self.code = code
 
+    @property
+    def transient(self) -> bool:
+        """Whether the system lacks what reading needs at the moment; if not, the file itself is at fault."""
+        return self.code in TRANSIENT_ERRNOS
+
     @property
     def descriptors_exhausted(self) -> bool:
         """Whether this process had no file descriptor free."""
--- a/yardspindle/node/config_reload.py
+++ b/yardspindle/node/config_reload.py
@@ -19,6 +19,7 @@
     5_000  # doubled after each failure; a new configuration takes effect 4 s after SIGHUP at the latest
 )
 MAX_RETRY_PAUSE_US = 200_000
+START_RETRY_LIMIT_US = 1_000_000  # a process has to be ready 6 s after its start
 
 
 class ConfigReload:
@@ -35,6 +36,17 @@
         self._requested = False
         self._task: Task | None = None
 
+    def read_at_start(self) -> NodeConfig:
+        """Read the file for the first time, for a limited time while the system lacks what that needs."""
+        until_us = self._world.now_us() + START_RETRY_LIMIT_US
+        while True:
+            try:
+                return self._read()
+            except ConfigUnreadable as error:
+                if not error.transient or self._world.now_us() >= until_us:
+                    raise
+            self._world.sleep_until(self._world.now_us() + MAX_RETRY_PAUSE_US)
+
     def request(self) -> None:
         """Read the file soon; a request while the file cannot be read is covered by the next try."""
         self._requested = True
