Keep a connection for which the kernel had no memory for a moment

Cause: ENOBUFS of send and ENOMEM of recv were taken for a broken connection: a client's request was lost, or an attempt ended as reset. Change: the call is repeated after 5 ms; a reset that cannot be set up (SO_LINGER) closes the connection all the same. Test: test_a_connection_goes_on_after_a_lack_of_kernel_memory; fails without the change.

--- a/tests/test_runtime_failures.py
+++ b/tests/test_runtime_failures.py
@@ -12,7 +12,7 @@
 import pytest
 
 from tests.test_runtime import world
-from tests.test_runtime_sockets import FailingSocket
+from tests.test_runtime_sockets import FailingSocket, pair
 from yardspindle.runtime.real_sockets import RealListener
 from yardspindle.runtime.scheduler import Task
 from yardspindle.runtime.world import Stream
@@ -155,3 +155,30 @@
         return w.current()
 
     assert w.run("main", main).done
+
+
+class ScarceSocket:
+    """A connected socket whose first send and recv fail for lack of kernel memory."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self.send = failing(sock.send, errno.ENOBUFS)
+        self.recv = failing(sock.recv, errno.ENOMEM)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._sock, name)
+
+
+def test_a_connection_goes_on_after_a_lack_of_kernel_memory() -> None:
+    """Guards against a client or host being given up as gone after one ENOBUFS of send or ENOMEM of recv."""
+    w = world()
+
+    def main() -> bytes:
+        near, far = pair(w)
+        for stream in (near, far):
+            stream._sock = ScarceSocket(stream._sock)  # type: ignore[attr-defined]
+        near.write(b"x")
+        with w.deadline(w.now_us() + WAIT_US):
+            return far.read()
+
+    assert w.run("main", main) == b"x"
--- a/yardspindle/runtime/real_sockets.py
+++ b/yardspindle/runtime/real_sockets.py
@@ -36,6 +36,8 @@
 )
 CLOSED_LISTENER_ERRNOS = (errno.EBADF, errno.EINVAL, errno.ENOTSOCK)  # no later accept can succeed
 EXHAUSTION_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+BUFFER_ERRNOS = (errno.ENOBUFS, errno.ENOMEM)  # a connection is not broken by these
+BUFFER_RETRY_US = 5_000
 ACCEPT_RETRY_US = 50_000  # delay before accept is retried when no descriptor was free, for some connection to close
 
 
@@ -70,7 +72,9 @@
             except OSError as error:
                 if error.errno in WOULD_BLOCK_ERRNOS:
                     continue
-                raise StreamError(os.strerror(error.errno or 0)) from None
+                self._pause_without_buffers(error)
+                self._drained = False
+                continue
             self._drained = 0 < len(data) < limit
             return data
 
@@ -78,25 +82,30 @@
         """Write all data, waiting while the peer does not read (Stream)."""
         if self._descriptor < 0:
             raise StreamError("closed here")
-        try:
-            sent = self._sock.send(data)
-            if sent == len(data):
-                return
-            rest = memoryview(data)[sent:]
-        except OSError as error:
-            if error.errno not in WOULD_BLOCK_ERRNOS:
-                raise StreamError(os.strerror(error.errno or 0)) from None
-            rest = memoryview(data)
+        rest = self._send(memoryview(data))
         while rest:
             self._world.poller.block(self._world.scheduler, self._descriptor, WRITE_MASK)
             self._world.scheduler.raise_interrupt()  # whoever cancelled this task assumes that the rest is not sent
             if self._descriptor < 0:
                 raise StreamError("closed here")
-            try:
-                rest = rest[self._sock.send(rest) :]
-            except OSError as error:
-                if error.errno not in WOULD_BLOCK_ERRNOS:
-                    raise StreamError(os.strerror(error.errno or 0)) from None
+            rest = self._send(rest)
+
+    def _send(self, data: memoryview) -> memoryview:
+        """Send what the kernel takes now; returns the rest. Raises StreamError."""
+        try:
+            return data[self._sock.send(data) :]
+        except OSError as error:
+            if error.errno not in WOULD_BLOCK_ERRNOS:
+                self._pause_without_buffers(error)
+            return data
+
+    def _pause_without_buffers(self, error: OSError) -> None:
+        """Wait until a call may be repeated that found no kernel memory. Raises StreamError for any other error."""
+        if error.errno not in BUFFER_ERRNOS:
+            raise StreamError(os.strerror(error.errno or 0)) from None
+        self._world.sleep_until(self._world.now_us() + BUFFER_RETRY_US)
+        if self._descriptor < 0:
+            raise StreamError("closed here")
 
     def is_idle(self) -> bool:
         """Whether there is no unread input and the peer has not closed (Stream)."""
@@ -129,7 +138,8 @@
     def abort(self) -> None:
         """Close with a reset, discarding unsent data (Stream)."""
         if self._descriptor >= 0:
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            with contextlib.suppress(OSError):  # closed without a reset then
+                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             self.close()
 
 
