Try the fleet's store for two seconds at the start of a steward or unit

Change: open_store_at_start tries again for 2 s; a store that stays unreachable ends the start with the same error as before.

--- a/tests/test_fleet_shortage.py
+++ b/tests/test_fleet_shortage.py
@@ -10,6 +10,7 @@
 
 from tests.test_runtime import world
 from tests.test_runtime_failures import failing
+from yardspindle.cli.common import open_store_at_start
 from yardspindle.core.config import FleetConfig
 from yardspindle.core.hosts.directory import Server
 from yardspindle.core.prefix.prefix_tracker import PrefixTracker
@@ -17,7 +18,7 @@
 from yardspindle.edge.cache_events import CacheEventSubscriber
 from yardspindle.fleet.membership import join_fleet
 from yardspindle.fleet.store.embedded import BOOT_ID_PATH, EmbeddedStore
-from yardspindle.fleet.store.interface import StoreError
+from yardspindle.fleet.store.interface import NotApplied, StoreError
 from yardspindle.interface import Role, State
 from yardspindle.runtime.database import SqliteDatabase
 from yardspindle.runtime.real import RealWorld
@@ -61,6 +62,24 @@
     w.run("main", main)
 
 
+def test_a_steward_starts_though_its_first_call_is_not_answered(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a program of the fleet that ends at its start, as one call to the store had no answer in time."""
+    w = world()
+    config = FleetConfig(store=(f"file:{tmp_path / 'store'}",))
+
+    def no_answer(*_: Any) -> None:
+        monkeypatch.undo()
+        raise NotApplied("no answer in time")
+
+    def main() -> None:
+        monkeypatch.setattr(EmbeddedStore, "range", no_answer)
+        assert open_store_at_start(w, config, read=True).range(b"a").rows == ()
+
+    w.run("main", main)
+
+
 def test_a_transaction_whose_rollback_failed_ends_before_the_next(tmp_path: Path) -> None:
     """Guards against a store that no call can use any more after one rollback that failed."""
     database = SqliteDatabase(str(tmp_path / "store"))
--- a/yardspindle/cli/common.py
+++ b/yardspindle/cli/common.py
@@ -12,9 +12,14 @@
 import click
 import structlog
 
-from yardspindle.core.config import Config, ConfigError, LogConfig, parse
+from yardspindle.core.config import Config, ConfigError, FleetConfig, LogConfig, parse
+from yardspindle.fleet.store.factory import open_store
+from yardspindle.fleet.store.interface import Store, StoreError
 from yardspindle.runtime.real import RealWorld
+from yardspindle.runtime.world import World
 
+STORE_RETRY_LIMIT_US = 2_000_000
+STORE_RETRY_PAUSE_US = 50_000
 LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
 
 
@@ -73,6 +78,23 @@
         raise CliError(str(error)) from None
 
 
+def open_store_at_start(world: World, config: FleetConfig, read: bool) -> Store:
+    """Open the fleet's store, and read it if asked to; tries again for a limited time if that fails.
+
+    `read`: a store that stays unreachable is so reported now, not after the start. Raises StoreError and OSError."""
+    until_us = world.now_us() + STORE_RETRY_LIMIT_US
+    while True:
+        try:
+            store = open_store(world, config)
+            if read:
+                store.range(b"\0")  # any key will do
+            return store
+        except (StoreError, OSError):
+            if world.now_us() >= until_us:
+                raise
+        world.sleep_until(world.now_us() + STORE_RETRY_PAUSE_US)
+
+
 def run_until_stopped(
     name: str, world: RealWorld, start: Callable[[], str], stop: Callable[[], None], where: str
 ) -> None:
--- a/yardspindle/cli/steward.py
+++ b/yardspindle/cli/steward.py
@@ -6,9 +6,8 @@
 
 import click
 
-from yardspindle.cli.common import CliError, configure_logging, load_config, run_until_stopped
+from yardspindle.cli.common import CliError, configure_logging, load_config, open_store_at_start, run_until_stopped
 from yardspindle.core.config import ConfigError
-from yardspindle.fleet.store.factory import open_store
 from yardspindle.fleet.store.interface import StoreError
 from yardspindle.runtime.real import RealWorld
 from yardspindle.steward.app import Steward
@@ -28,8 +27,7 @@
     def start() -> str:
         where = f"{file}: fleet.store: {', '.join(config.fleet.store)}"
         try:
-            store = open_store(world, config.fleet)
-            store.range(b"\0")  # any read will do: an unreachable store is reported now, not after the start
+            store = open_store_at_start(world, config.fleet, read=True)
         except (StoreError, OSError) as error:
             raise ConfigError(f"{where}: {error}") from None
         running.append(Steward(world, config, store, version("yardspindle")))
--- a/yardspindle/cli/unit.py
+++ b/yardspindle/cli/unit.py
@@ -6,10 +6,9 @@
 
 import click
 
-from yardspindle.cli.common import CliError, configure_logging, load_config, run_until_stopped
+from yardspindle.cli.common import CliError, configure_logging, load_config, open_store_at_start, run_until_stopped
 from yardspindle.core.config import ConfigError, decode_toml
 from yardspindle.core.fleet.unit import UnitFile
-from yardspindle.fleet.store.factory import open_store
 from yardspindle.fleet.store.interface import StoreError
 from yardspindle.runtime.real import RealWorld
 from yardspindle.unit.app import UnitSupervisor
@@ -36,7 +35,7 @@
 
     def start() -> str:
         try:
-            store = open_store(world, config.fleet)
+            store = open_store_at_start(world, config.fleet, read=False)
             running.append(
                 UnitSupervisor(
                     world, unit_file, config.fleet, store, version("yardspindle"), ProcessRunner(world, unit_file)
