Wait until the measured processes have started, not for half a second alone

At fault: the test took a fixed 0.5 s for all starts; at a load of 27 an interpreter that still starts waits for its processor. The check and its bound are as before; each process says that it runs, then the half second follows as before.

--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -24,7 +24,7 @@
 
 RELEASE_S, GRACE_S, DEADLINE_MS = 0.3, 0.25, 700
 OVER_S = 0.2  # by how much each case is over its bound
-BUSY = "import os, sys\nos.sched_setaffinity(0, {int(sys.argv[1])})\nwhile True: pass"
+BUSY = "import os, sys\nprint(flush=True)\nos.sched_setaffinity(0, {int(sys.argv[1])})\nwhile True: pass"
 Wait = tuple[str, float, float, float]  # process, begin, end, seconds withheld in between
 Case = Callable[[DispatcherRun], list[dict[str, Any]]]
 
@@ -224,19 +224,23 @@
 
 def test_processes_that_share_a_processor_are_measured_and_one_that_sleeps_is_not() -> None:
     processor = str(min(os.sched_getaffinity(0)))
-    programs = {"n0": BUSY, "n1": BUSY, "asleep": "import time\ntime.sleep(60)"}
+    programs = {"n0": BUSY, "n1": BUSY, "asleep": "import time\nprint(flush=True)\ntime.sleep(60)"}
     withheld, begin = WithheldTime(), monotonic()
-    processes = [subprocess.Popen([sys.executable, "-c", text, processor]) for text in programs.values()]
+    processes = [
+        subprocess.Popen([sys.executable, "-c", text, processor], stdout=subprocess.PIPE) for text in programs.values()
+    ]
     try:
         withheld.pids.update(zip((process.pid for process in processes), programs, strict=True))
-        sleep(0.5)  # all have started
+        for process in processes:  # each has started
+            assert process.stdout is not None and process.stdout.readline()
+        sleep(0.5)  # and is sampled
         since = monotonic()
         sleep(1.0)
     finally:
         withheld.close()
         for process in processes:
             process.kill()
-            process.wait()
+            process.communicate()
     both = [withheld.seconds((name, since, since + 1.0)) for name in ("n0", "n1")]
     assert sum(both) > 0.7, "they cannot have run at the same time"
     assert withheld.seconds(("asleep", since, since + 1.0)) < 0.3, "stolen time at most"
