Owe the release of an unread call until its host has answered, not for 6 s

Ruled out: a release that was lost or refused (all were confirmed); a host taken for gone (it stays on the list and is sent places all the time); an answer of the host taken for the proof (all calls were tracked as `silent`, which no answer ends). Cause: UnreadCalls.take_due deleted a request EXPIRY_US after its first call, whether or not its server had answered.

Change: a call is tracked until its server has answered something that was sent after the call was closed, or has left the list. A silent server gets probes, one at a time and on a connection of its own: a release of one of those requests. As it answers, all that it may have read is released at once and twice more. Releases are repeated meanwhile after 0.45 s, from 6 s on with growing pauses, so that a call costs no more of them than it did in its 6 s. A connection that is silent while its host answers is allowed for until the host has closed it as idle. What is evicted beyond 5,000 requests is counted in releases_lapsed; the counts tell the unread calls, the log silent hosts.

Tests: tests/test_unread_calls.py and test_held_silent_hosts.py (7.5 s). Changed: tests that waited for EXPIRY_US wait until running hosts have had all releases; the host that is cut off for good in test_node.py is owed its release for a minute and gets it on its return (stricter: before, being forgotten was the check); two planted faults switch off probes too, which release as well.

--- a/tests/crossing_planted.py
+++ b/tests/crossing_planted.py
@@ -21,12 +21,14 @@
 from yardspindle.core.hosts.host_list import HostList
 from yardspindle.core.request.completion import RequestCompletion
 from yardspindle.core.request.lifecycle import Lifecycle
+from yardspindle.core.request.repeated_releases import RepeatedReleases
 from yardspindle.core.request.request_releases import RequestReleases
 from yardspindle.core.request.unread_calls import UnreadCalls
 from yardspindle.engine.http_client import HttpClient, Response
 from yardspindle.node.discovery import DiscoveryClient
 from yardspindle.node.executor import Executor
 from yardspindle.node.host_client import HostClient, ResponseStream
+from yardspindle.node.probe_tasks import ProbeTasks
 from yardspindle.node.release_tasks import ReleaseTasks
 
 MAX_SEEDS = 300
@@ -45,9 +47,12 @@
     return Planted(((owner, method, old, new),), expected_break, first_seed)
 
 
-# Switches off repeated releases for calls that a host may not have read yet: they would mask the faults planted with
-# this change.
-NO_REPEATED_RELEASES = (UnreadCalls, "take_due", "due.append(request)", "pass")
+# Switch off the repeated releases and the probes (releases too) for calls that a host may not have read yet: they would
+# mask the faults planted with these changes.
+NO_REPEATED_RELEASES = (
+    (RepeatedReleases, "take_due", "due.append(request)", "pass"),
+    (UnreadCalls, "take_probes", "if request is None:", "if True:"),
+)
 
 PLANTED: dict[str, Planted] = {
     # The policy is not notified when a client disconnects.
@@ -90,18 +95,28 @@
         3_888,
     ),
     # No release is sent; each counts as confirmed.
-    "nothing is let go of": single_change(
-        ReleaseTasks,
-        "_release",
-        "acknowledged = self._hosts.release(server, self._ids[release.request], late_headers)",
-        "acknowledged = True",
+    "nothing is let go of": Planted(
+        (
+            (
+                ReleaseTasks,
+                "_release",
+                "acknowledged = self._hosts.release(server, self._ids[release.request], late_headers)",
+                "acknowledged = True",
+            ),
+            (
+                ProbeTasks,
+                "_probe",
+                "self._hosts.probe(server, request_id, late_headers, on_first_byte, probe.new_connection)",
+                "answered = True",
+            ),
+        ),
         "was held",
         7,
     ),
     # A release that may have arrived before its hold is not repeated.
     "a word that may have come too early is not said again": Planted(
         (
-            NO_REPEATED_RELEASES,
+            *NO_REPEATED_RELEASES,
             (
                 RequestCompletion,
                 "_release_all",
@@ -119,7 +134,7 @@
     # After a read is cancelled, the state that it may have left is not released.
     "a read that was called off left nothing": Planted(
         (
-            NO_REPEATED_RELEASES,
+            *NO_REPEATED_RELEASES,
             (
                 RequestCompletion,
                 "_abort",
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -43,6 +43,7 @@
         "unheard-of": 1,  # no setting: unknown keys must be ignored
     },
 }
+MAX_REPEATS_US = SETTINGS["allowed"]["conn-idle-us"] + 1_000_000  # by then running hosts have had all releases
 ENVIRONMENT = {
     "ROUTER_NAME": "n",
     "ROUTER_LISTEN": "10.1.0.1:9000",
--- a/tests/test_held_silent_hosts.py
+++ b/tests/test_held_silent_hosts.py
@@ -17,7 +17,6 @@
 from tests.crossings import RELEASE_S, Stage
 
 MAX_BATCHES = 300
-THAW_DELAY_S = 1.0  # after this a frozen host reads again
 REUSE_DELAY_S = 0.25  # as in test_crossings_hosts, but longer: a busy machine sees the last answer late
 
 
@@ -162,12 +161,16 @@
     stage.check()
 
 
-def test_a_place_whose_call_is_read_late_is_let_go_of(stage: Stage) -> None:
-    """A frozen host reads on its return what lies in its connections, though the program closed them long ago."""
-    repeat_until_arranged(stage, lambda: place_is_read_late(stage))
+@pytest.mark.parametrize("frozen_s", [1.0, 7.5])
+def test_a_place_whose_call_is_read_late_is_let_go_of(stage: Stage, frozen_s: float) -> None:
+    """A frozen host reads on its return what lies in its connections, though the program closed them long ago.
+
+    Review, case 3: after 6 s the release was forgotten.
+    """
+    repeat_until_arranged(stage, lambda: place_is_read_late(stage, frozen_s))
 
 
-def place_is_read_late(stage: Stage) -> None:
+def place_is_read_late(stage: Stage, frozen_s: float) -> None:
     client = client_with_idle_connections(stage, 1)
     client.ask("a")
     stage.wait_call("read", "a")
@@ -179,7 +182,7 @@
 
     client.disconnect("close")
     stage.wait_for("repeated releases", lambda: freed() > 1)
-    stage.wait_until(monotonic() + THAW_DELAY_S)
+    stage.wait_until(monotonic() + frozen_s)
     stage.host("write").thaw()
     stage.wait_for(
         "the call that lay unread", lambda: ("placed", held) in [row[1:] for row in stage.ledger.hold_changes]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,8 +7,7 @@
 
 import pytest
 
-from tests.platform_standin import EVENTS, HEAD, Host, Platform, plain, request, stream, write
-from yardspindle.core.request.unread_calls import EXPIRY_US
+from tests.platform_standin import EVENTS, HEAD, MAX_REPEATS_US, Host, Platform, plain, request, stream, write
 from yardspindle.node.app import Node
 from yardspindle.protocol import http1
 from yardspindle.runtime.virtual import Simulation
@@ -249,7 +248,10 @@
         assert "free" in platform.calls_of(ID) and ID not in platform.states
         platform.sleep(3_000_000)
         assert not node.core.busy
-        platform.sleep(EXPIRY_US)  # until then, calls that may lie unread at an unresponsive host are tracked
+        platform.sleep(60_000_000)  # what the reader may still read stays owed as long as it is silent
+        assert node.core.tracks_release(2) and platform.calls_of(ID).count("free") < 60
+        platform.sim.network.restore("node", reader)
+        platform.sleep(MAX_REPEATS_US)
         assert not node.core.needs_tick and not node.executor.request_ids
 
     run_node(main)
--- a/tests/test_node_bounds.py
+++ b/tests/test_node_bounds.py
@@ -6,11 +6,10 @@
 
 import pytest
 
-from tests.platform_standin import EVENTS, HEAD, Host, Platform, request, stream, write
+from tests.platform_standin import EVENTS, HEAD, MAX_REPEATS_US, Host, Platform, request, stream, write
 from tests.test_node import readers, run_node, writers
 from tests.test_node_handover import assert_idle
 from yardspindle.core.request.request_releases import MAX_LATE_CALLS
-from yardspindle.core.request.unread_calls import EXPIRY_US
 from yardspindle.engine import http_client
 from yardspindle.node.app import Node
 from yardspindle.node.host_client import MAX_BODY_BYTES, RESPONSE_LIMITS
@@ -178,7 +177,7 @@
         # Unconfirmed releases are repeated for ten seconds, to a few hosts at a time.
         running = sum(map(len, node.executor.releases.running.values()))
         assert running <= 3 * len(node.core.request_releases.pending) + MAX_LATE_CALLS <= 18 + MAX_LATE_CALLS
-        platform.sleep(EXPIRY_US + 12_000_000)  # repeated for that long; each call gets an endless response
+        platform.sleep(MAX_REPEATS_US + 12_000_000)  # repeated for that long; each call gets an endless response
         assert not node.core.needs_tick and not node.executor.request_ids and not node.executor.releases.running
 
     run_node(main)
--- a/tests/test_node_handover.py
+++ b/tests/test_node_handover.py
@@ -7,14 +7,26 @@
 
 import pytest
 
-from tests.platform_standin import EVENTS, HEAD, SETTINGS, Answer, Host, Platform, plain, read, request, stream, write
+from tests.platform_standin import (
+    EVENTS,
+    HEAD,
+    MAX_REPEATS_US,
+    SETTINGS,
+    Answer,
+    Host,
+    Platform,
+    plain,
+    read,
+    request,
+    stream,
+    write,
+)
 from tests.test_node import readers, run_node, writers
 from tests.test_node_cores import READER, WRITER, WRITER2, commands_of, kinds, mark_written, start_reading, started_core
 from tests.test_node_sending import slow
 from yardspindle import interface as i
 from yardspindle.core.request import commands as c
 from yardspindle.core.request.request_releases import REPEAT_DELAY_US
-from yardspindle.core.request.unread_calls import EXPIRY_US
 from yardspindle.node.app import Node
 from yardspindle.protocol import http1
 from yardspindle.runtime.world import Stream
@@ -35,7 +47,7 @@
     """Check that nothing is left of any request and that no rule was violated."""
     platform.sleep(RELEASE_US + 3_000_000)
     assert not platform.states and not node.core.busy
-    platform.sleep(EXPIRY_US)  # until then, calls that may lie unread at an unresponsive host are tracked
+    platform.sleep(MAX_REPEATS_US)  # until then, calls that may lie unread at an unresponsive host are tracked
     assert not platform.states and not node.core.needs_tick and not node.executor.request_ids
     assert not node.executor.running and not node.executor.releases.running
     assert node.core.rule_checker.last_violation is None
--- a/tests/test_node_held.py
+++ b/tests/test_node_held.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.platform_standin import SETTINGS, Host, Platform, read, request
+from tests.platform_standin import MAX_REPEATS_US, SETTINGS, Host, Platform, read, request
 from tests.test_node import readers, run_node, writers
 from tests.test_node_cores import (
     READER,
@@ -24,7 +24,6 @@
 from yardspindle.core.request.edge_core import EdgeCore
 from yardspindle.core.request.held_resources import CONNECTS_WHILE_HELD, RELEASE_FRACTION
 from yardspindle.core.request.request_releases import MAX_LATE_CALLS, REPEAT_DELAY_US, RETRY_FANOUT, RequestReleases
-from yardspindle.core.request.unread_calls import EXPIRY_US
 from yardspindle.node.app import Node
 from yardspindle.runtime.world import Stream
 
@@ -206,7 +205,7 @@
             and not node.core.request_releases._in_flight
             and not node.core.request_releases._late_calls
         )
-        platform.sleep(EXPIRY_US)  # until then, a read that may continue at a stopped host is tracked
+        platform.sleep(MAX_REPEATS_US)  # until then, a read that may continue at a stopped host is tracked
         assert not node.executor.releases.running and not node.executor.request_ids
 
     run_node(main)
--- a/tests/test_node_left.py
+++ b/tests/test_node_left.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.platform_standin import (
+    MAX_REPEATS_US,
     SETTINGS,
     Host,
     Platform,
@@ -19,7 +20,6 @@
 from tests.test_node_sending import HOP_US, slow, wait_for_request
 from yardspindle import interface as i
 from yardspindle.core.request.records import RequestRecord
-from yardspindle.core.request.unread_calls import EXPIRY_US
 from yardspindle.node.app import Node
 from yardspindle.protocol import http1
 from yardspindle.runtime.world import Stream
@@ -77,7 +77,9 @@
     platform.sleep(RELEASE_US + 300_000)
     assert [what for what in platform.calls_of(number) if what != "free"] == [what for what in seen if what != "free"]
     assert number not in platform.states
-    platform.sleep(EXPIRY_US + 3_000_000)  # until then, calls that may lie unread at an unresponsive host are tracked
+    platform.sleep(
+        MAX_REPEATS_US + 3_000_000
+    )  # until then, calls that may lie unread at an unresponsive host are tracked
     assert not node.core.needs_tick and not node.executor.request_ids
     assert not node.executor.releases.running and not node.executor.running
     assert node.core.rule_checker.last_violation is None
--- a/yardspindle/core/request/commands.py
+++ b/yardspindle/core/request/commands.py
@@ -15,6 +15,7 @@
 from yardspindle.core.hosts.directory import Server
 from yardspindle.core.request.engine_releases import PendingRelease
 from yardspindle.core.request.request_releases import RequestRelease
+from yardspindle.core.request.unread_calls import Probe
 
 
 class Final(Enum):
@@ -192,6 +193,14 @@
     server: Server
 
 
+@dataclass(frozen=True, slots=True)
+class SendProbe:
+    """Send a release to a silent engine, whose answer shows that it reads what lies in its connections."""
+
+    probe: Probe
+    server: Server
+
+
 @dataclass(frozen=True, slots=True)
 class ReportViolation:
     """The rule checker found a violation: log and count it."""
@@ -218,5 +227,6 @@
     | Warn
     | SendRelease
     | SendRequestRelease
+    | SendProbe
     | ReportViolation
 )
--- a/yardspindle/core/request/edge_core.py
+++ b/yardspindle/core/request/edge_core.py
@@ -21,7 +21,7 @@
 from yardspindle.core.request.records import EdgeRules
 from yardspindle.core.request.request_releases import RequestRelease, RequestReleases
 from yardspindle.core.request.rule_checker import RuleChecker
-from yardspindle.core.request.unread_calls import UnreadCalls
+from yardspindle.core.request.unread_calls import Probe, UnreadCalls
 
 
 class EdgeCore:
@@ -33,7 +33,7 @@
         self.rule_checker = RuleChecker(rules)
         self.engine_releases = ReleaseQueues()
         self.request_releases = RequestReleases(seed)
-        self.unread_calls = UnreadCalls(rules.release_us)
+        self.unread_calls = UnreadCalls(rules.release_us, rules.idle_connection_us)
 
     @property
     def epoch(self) -> int:
@@ -48,7 +48,7 @@
     @property
     def needs_tick(self) -> bool:
         """Whether `tick` has to be called."""
-        return self.busy or bool(self.unread_calls.requests)
+        return self.busy or self.unread_calls.active
 
     def counts(self) -> dict[str, int]:
         """Counts since the start: requests, their ends, actions stopped by interlocks, expired releases, violations."""
@@ -56,7 +56,8 @@
             f"broken_{rule.replace(' ', '_')}": count
             for rule, count in sorted(self.rule_checker.violation_counts.items())
         }
-        releases = {"releases_lapsed": self.request_releases.expired + self.engine_releases.expired}
+        lapsed = self.request_releases.expired + self.engine_releases.expired + self.unread_calls.evicted
+        releases = {"releases_lapsed": lapsed, "unread_calls": len(self.unread_calls)}
         return self.lifecycle.counts.as_dict() | releases | {"violations": sum(broken.values())} | broken
 
     def planner_up(self, now_us: int, epoch: int) -> list[c.Command]:
@@ -79,8 +80,9 @@
         """Apply the planner's list of servers."""
         commands = self.lifecycle.update_servers(now_us, listed)
         self.request_releases.retain_servers(self.lifecycle.directory.servers)
+        servers = self.lifecycle.directory.servers.items()
         self.unread_calls.retain_servers(
-            [number for number, server in self.lifecycle.directory.servers.items() if server.state is not i.State.GONE]
+            now_us, {number for number, server in servers if server.state is not i.State.GONE}
         )
         return self._out(now_us, commands)
 
@@ -158,10 +160,10 @@
         self.lifecycle.place_requested(now_us, request, number, server)
         return True
 
-    def server_answered(self, now_us: int, server: int) -> None:
-        """A server answered a call."""
+    def server_answered(self, now_us: int, server: int, sent_us: int) -> None:
+        """A server answered a call whose first byte was written at `sent_us` or later."""
         self.request_releases.server_answered(now_us, server)
-        self.unread_calls.server_answered(now_us, server)
+        self.unread_calls.server_answered(now_us, server, sent_us)
 
     def server_unresponsive(self, now_us: int, server: int) -> None:
         """A server could not be reached, broke a connection or did not answer."""
@@ -169,7 +171,7 @@
 
     def tracks_release(self, request: int) -> bool:
         """Whether a release of a request is pending or will be repeated."""
-        return request in self.request_releases.pending or request in self.unread_calls.requests
+        return request in self.request_releases.pending or self.unread_calls.tracks(request)
 
     def may_send_release(self, release: RequestRelease) -> bool:
         """Whether a release that is about to be written is still pending and takes nothing from an attempt."""
@@ -189,9 +191,9 @@
 
     def tick(self, now_us: int) -> list[c.Command]:
         """Enforce deadlines and send what is due."""
-        for request in self.unread_calls.take_due(now_us, self.lifecycle.requests.keys()):
-            self.request_releases.repeat(now_us, request)
+        self._repeat_due_releases(now_us)
         commands = self._out(now_us, self.lifecycle.tick(now_us))
+        commands += self._due_probes(now_us)
         self.rule_checker.check_time(now_us)
         for release in self.request_releases.take_overdue(now_us, self.lifecycle.rules.release_us):
             self.rule_checker.release_overdue(now_us, release.request, release.since_us)
@@ -203,20 +205,40 @@
         return self._due_releases(now_us)
 
     def request_release_settled(
-        self, now_us: int, release: RequestRelease, server: int, confirmed: bool | None, late: bool = False
+        self,
+        now_us: int,
+        release: RequestRelease,
+        server: int,
+        confirmed: bool | None,
+        late: bool = False,
+        sent_us: int = 0,
     ) -> list[c.Command]:
         """An engine confirmed the release of all that is held for a request, or did not, or (None) was not asked.
 
-        `late`: the call had been reported overdue.
+        `late`: the call had been reported overdue; `sent_us`: not later than its first byte was written.
         """
         if confirmed:
-            self.unread_calls.server_answered(now_us, server)
+            self.unread_calls.server_answered(now_us, server, sent_us)
         if late:
             self.request_releases.late_call_settled(now_us, release, server, bool(confirmed))
         else:
             self.request_releases.settled(now_us, release, server, confirmed)
         return self._due_releases(now_us)
 
+    def may_send_probe(self, probe: Probe) -> bool:
+        """Whether a probe that is about to be written is still wanted and takes nothing from an attempt."""
+        return self.unread_calls.is_current(probe) and self.rule_checker.may_release(probe.request)
+
+    def probe_settled(self, now_us: int, probe: Probe, answered: bool | None, sent_us: int) -> list[c.Command]:
+        """A probe of a silent engine was answered, or was not, or (None) was not sent for a reason of this process."""
+        self.unread_calls.probe_settled(now_us, probe, answered, sent_us)
+        if answered:
+            self.request_releases.server_answered(now_us, probe.server)
+        elif answered is False:
+            self.request_releases.server_unresponsive(now_us, probe.server)
+        self._repeat_due_releases(now_us)
+        return [*self._due_releases(now_us), *self._due_probes(now_us)]
+
     def request_release_overdue(
         self, now_us: int, release: RequestRelease, server: int
     ) -> tuple[bool, list[c.Command]]:
@@ -244,7 +266,8 @@
                 case c.ReleaseAll(request, repeat):
                     self.request_releases.add(now_us, request, repeat)
                 case c.TrackUnreadCall(request, server, silent):
-                    self.unread_calls.add(now_us, request, server.number, silent)
+                    is_place = server.role is i.Role.WRITE
+                    self.unread_calls.add(now_us, request, server.number, is_place, silent)
                 case c.Abort(reason=c.AbortReason.UNANSWERED | c.AbortReason.NOT_CONNECTED):
                     self.request_releases.server_unresponsive(now_us, command.server.number)
                     out.append(command)
@@ -252,6 +275,17 @@
                     out.append(command)
         return [*out, *self._due_releases(now_us), *self._violations()]
 
+    def _repeat_due_releases(self, now_us: int) -> None:
+        for request in self.unread_calls.take_due(now_us, self.lifecycle.requests.keys()):
+            self.request_releases.repeat(now_us, request)
+
+    def _due_probes(self, now_us: int) -> list[c.Command]:
+        servers = self.lifecycle.directory.servers
+        return [
+            c.SendProbe(probe, servers[probe.server])
+            for probe in self.unread_calls.take_probes(now_us, self.lifecycle.requests.keys())
+        ]
+
     def _due_releases(self, now_us: int) -> list[c.Command]:
         due: list[c.Command] = []
         if self.engine_releases.pending:
--- a/yardspindle/core/request/records.py
+++ b/yardspindle/core/request/records.py
@@ -28,6 +28,7 @@
     max_attempts: int
     max_open_requests: int
     writers_read: bool = False  # writers may read prompts themselves
+    idle_connection_us: int = 0  # a server has closed a connection that nothing passed on for so long
     resume: bool = False  # clients resume a stream that was cut
     release_by_request: bool = False  # a release frees all that engines hold for a request, never only a part of it
 
--- a/yardspindle/core/request/timeouts.py
+++ b/yardspindle/core/request/timeouts.py
@@ -37,6 +37,7 @@
 # How long a host's connection rests after an answer before it is used again: a faulty host may send an answer twice,
 # some ms apart, and the second copy must not be taken for the answer to the next request.
 REUSE_PAUSE_US = 20_000
+NEVER_REUSE_US = 1 << 60  # as such a rest: a new connection is made
 # For a call that reserves a place (memory at a writer, a host that runs the decode). A writer that does not know
 # whether it holds the place says so only after 0.3 s.
 RESERVE_PLACE_US = 1_000_000
--- a/yardspindle/node/config.py
+++ b/yardspindle/node/config.py
@@ -127,6 +127,7 @@
     # Limits on what the router may do. Those that the policy does not need (open requests, connections) are read
     # here, as `mapped`, its view of the settings, does not contain them.
     allowed = raw.get("allowed") or {}
+    idle_us = connection_defaults.idle_us(mapped, allowed.get("conn-idle-us"))
     return NodeConfig(
         name=contents.name or variables["ROUTER_NAME"],
         listen=_address(file, "listen", contents.listen, variables["ROUTER_LISTEN"]),
@@ -146,9 +147,10 @@
             writers_read=mapped.writers_read,  # decode hosts may run the prefill, too
             resume=mapped.resume,  # clients can continue a broken stream with a new request
             release_by_request=True,
+            idle_connection_us=idle_us,
         ),
         connect_us=connection_defaults.connect_us(mapped, allowed.get("connect-timeout-us")),
-        idle_us=connection_defaults.idle_us(mapped, allowed.get("conn-idle-us")),
+        idle_us=idle_us,
     )
 
 
--- a/yardspindle/node/executor.py
+++ b/yardspindle/node/executor.py
@@ -28,6 +28,7 @@
     ResponseStream,
     cached_tokens,
 )
+from yardspindle.node.probe_tasks import ProbeTasks
 from yardspindle.node.release_tasks import ReleaseTasks
 from yardspindle.node.running_request import RunningRequest
 from yardspindle.protocol import http1
@@ -50,6 +51,7 @@
         self.running: dict[int, RunningRequest] = {}
         self.request_ids: dict[int, bytes] = {}  # of requests that run, or of which a host may still hold something
         self.releases = ReleaseTasks(world, core, hosts, self.request_ids, self.perform, self.forget)
+        self._probes = ProbeTasks(world, core, hosts, self.request_ids, self.perform, self.forget)
         self.places_in_flight = 0  # unanswered calls for a place (memory reserved at a writer): it may be held
         self._events: deque[i.Event] = deque()
         self._deciding = False
@@ -141,6 +143,8 @@
                     log.write("place called off", id=self._request_id(request))
             case c.SendRequestRelease(release, server):
                 self.releases.start(release, server)
+            case c.SendProbe(probe, server):
+                self._probes.start(probe, server)
             case c.Answer(request):
                 known = self.running.get(request)
                 if known is not None:
@@ -162,6 +166,7 @@
 
     def _attempt(self, command: c.Read | c.Write, running: RunningRequest) -> None:
         """The task of an attempt: make it, log a failure, and report its result to the core."""
+        began_us = self._world.now_us()
         try:
             result = self._run_attempt(command, running)
         except Exception as fault:  # for example no memory: it may have run, and its end must be reported all the same
@@ -176,7 +181,7 @@
         if result.status in (i.Status.CONNECT_FAILED, i.Status.RESET) and not result.no_descriptor:
             self._core.server_unresponsive(self._world.now_us(), command.server.number)
         elif result.status in PROVES_ACCEPTED or result.status is i.Status.CANCELLED:  # cancelled: had begun to stream
-            self._core.server_answered(self._world.now_us(), command.server.number)
+            self._core.server_answered(self._world.now_us(), command.server.number, began_us)
         if result.status is i.Status.READ:
             running.trace.read_ended(self._world.now_us(), result.note)  # a read's note: its cached prompt tokens
         if result.status not in (i.Status.READ, i.Status.SERVED):
--- a/yardspindle/node/host_client.py
+++ b/yardspindle/node/host_client.py
@@ -211,8 +211,31 @@
         except DescriptorsExhausted:
             return None
 
+    def probe(
+        self,
+        server: Server,
+        request_id: bytes,
+        late_headers: LateHeaders,
+        on_first_byte: Callable[[], None],
+        new_connection: bool,
+    ) -> None:
+        """Send a release to a host that may be silent; `on_first_byte` is called when it answers.
+
+        `new_connection`: use no pooled one, which may be unresponsive. Raises DescriptorsExhausted.
+        """
+        min_idle_us = timeouts.NEVER_REUSE_US if new_connection else 0
+        wait_us = timeouts.RELEASE_DESCRIPTOR_US
+        self._call(server, b"DELETE", request_id, late_headers, wait_us, min_idle_us, on_first_byte)
+
     def _call(
-        self, server: Server, method: bytes, request_id: bytes, late_headers: LateHeaders, descriptor_us: int | None
+        self,
+        server: Server,
+        method: bytes,
+        request_id: bytes,
+        late_headers: LateHeaders,
+        descriptor_us: int | None,
+        min_idle_us: int = 0,
+        on_first_byte: Callable[[], None] | None = None,
     ) -> int:
         """Make a call about a place or release; returns the status, or 0 if there was no complete answer."""
         try:
@@ -223,7 +246,9 @@
                 ROOMS_PATH + request_id,
                 [],
                 late_headers=late_headers,
+                min_idle_us=min_idle_us,
                 descriptor_us=descriptor_us,
+                on_first_byte=on_first_byte,
             )
         except DescriptorsExhausted:
             raise
--- a/yardspindle/node/release_tasks.py
+++ b/yardspindle/node/release_tasks.py
@@ -26,6 +26,7 @@
     """A release call in flight."""
 
     written: bool = False  # its bytes may have been sent
+    sent_us: int = 0  # when that began
     late: bool = False  # it is overdue and goes on, while other hosts are asked as well
 
 
@@ -74,7 +75,7 @@
         def late_headers() -> http1.Headers:
             if not self._core.may_send_release(release):
                 raise CallCancelled  # what is held was released by another host meanwhile
-            call.written = True
+            call.written, call.sent_us = True, self._world.now_us()
             return []
 
         def overdue() -> None:
@@ -104,7 +105,7 @@
                 self._cancel_late_calls(tasks)
             self._perform(
                 self._core.request_release_settled(
-                    self._world.now_us(), release, server.number, acknowledged, call.late
+                    self._world.now_us(), release, server.number, acknowledged, call.late, call.sent_us
                 )
             )
             self._log_release(release, server, acknowledged)
