Keep a release pending until an engine confirms it, not for 10 s

Change: it is pending until an engine confirms it. After the first four rounds the pauses double up to 1.6 s (they stayed 0.1 s, so a dead fleet was sent 17 calls a second for each release); they end 0.1 s after the last failure as soon as any engine answers anything. 20,000 at most; beyond it the oldest is evicted and counted in releases_lapsed.

Changed: test_node_bounds.py waited until releases were given up; now they must stay owed at a bounded rate, and must all be gone once the hosts answer in full.

--- a/tests/test_node_bounds.py
+++ b/tests/test_node_bounds.py
@@ -174,10 +174,18 @@
             task.join()
         assert max_running <= 3 * 6 + MAX_LATE_CALLS
         platform.sleep(1_500_000)
-        # Unconfirmed releases are repeated for ten seconds, to a few hosts at a time.
+        # Unconfirmed releases are repeated, to a few hosts at a time.
         running = sum(map(len, node.executor.releases.running.values()))
         assert running <= 3 * len(node.core.request_releases.pending) + MAX_LATE_CALLS <= 18 + MAX_LATE_CALLS
-        platform.sleep(MAX_REPEATS_US + 12_000_000)  # repeated for that long; each call gets an endless response
+        platform.sleep(30_000_000)  # they stay owed, each with a round of three calls in 1.6 s or more
+        assert node.core.request_releases.pending
+        before = len(platform.calls)
+        platform.sleep(16_000_000)
+        assert len(platform.calls) - before <= 3 * 10 * len(node.core.request_releases.pending)
+        for host in platform.hosts.values():
+            del host.answer
+        platform.ask(b"after")
+        platform.sleep(MAX_REPEATS_US)
         assert not node.core.needs_tick and not node.executor.request_ids and not node.executor.releases.running
 
     run_node(main)
--- a/yardspindle/core/request/edge_core.py
+++ b/yardspindle/core/request/edge_core.py
@@ -56,7 +56,7 @@
             f"broken_{rule.replace(' ', '_')}": count
             for rule, count in sorted(self.rule_checker.violation_counts.items())
         }
-        lapsed = self.request_releases.expired + self.engine_releases.expired + self.unread_calls.evicted
+        lapsed = self.request_releases.evicted + self.engine_releases.expired + self.unread_calls.evicted
         releases = {"releases_lapsed": lapsed, "unread_calls": len(self.unread_calls)}
         return self.lifecycle.counts.as_dict() | releases | {"violations": sum(broken.values())} | broken
 
--- a/yardspindle/node/release_tasks.py
+++ b/yardspindle/node/release_tasks.py
@@ -129,7 +129,7 @@
                 id=self._ids.get(release.request, b"?").decode(),
                 at=server.name,
                 heard=acknowledged,
-                tries=len(release.failed),
+                tries=release.tries,
                 ms=(self._world.now_us() - release.since_us) // 1_000,
                 said=release.confirmations,
             )
