Move calls for places out of the executor into a module of their own

Calls for places (node/place_tasks.py) stand beside releases and probes now, each a task of its own with the same arguments.

--- a/yardspindle/node/app.py
+++ b/yardspindle/node/app.py
@@ -137,7 +137,7 @@
         self.world.call_at(times.stop_us, self._end_open_requests)
         self._server.drain(times.exit_us)
         while (
-            self.core.request_releases.pending or self.executor.places_in_flight
+            self.core.request_releases.pending or self.executor.places.in_flight
         ) and self.world.now_us() < times.release_deadline_us:
             self.world.sleep_until(self.world.now_us() + TICK_INTERVAL_US)
         log.write("counts", **self.core.counts(), **self.policy.counts())
--- a/yardspindle/node/executor.py
+++ b/yardspindle/node/executor.py
@@ -28,6 +28,7 @@
     ResponseStream,
     cached_tokens,
 )
+from yardspindle.node.place_tasks import PlaceTasks, check_client_close
 from yardspindle.node.probe_tasks import ProbeTasks
 from yardspindle.node.release_tasks import ReleaseTasks
 from yardspindle.node.running_request import RunningRequest
@@ -52,7 +53,7 @@
         self.request_ids: dict[int, bytes] = {}  # of requests that run, or of which a host may still hold something
         self.releases = ReleaseTasks(world, core, hosts, self.request_ids, self.perform, self.forget)
         self._probes = ProbeTasks(world, core, hosts, self.request_ids, self.perform, self.forget)
-        self.places_in_flight = 0  # unanswered calls for a place (memory reserved at a writer): it may be held
+        self.places = PlaceTasks(world, core, hosts, self.request_ids, self.perform, self.forget)
         self._events: deque[i.Event] = deque()
         self._deciding = False
         self._timer_us = 0  # when the pending timer is due; 0: none is set
@@ -135,7 +136,7 @@
                     self._world.spawn("flush stream", self._flush_stream, request, known)
             case c.ReservePlace():
                 running = self.running[command.request]
-                running.places[command.place] = self._world.spawn("place", self._reserve_place, command, running)
+                self.places.start(command, running)
             case c.AbortPlace(request, place):
                 known = self.running.get(request)
                 if known is not None and place in known.places:
@@ -242,18 +243,11 @@
         while True:
             if not self._core.lifecycle.remaining_ms(self._world.now_us(), command.request, command.attempt):
                 raise CallCancelled
-            self._check_client_close(running)
+            check_client_close(self._world, running)
             if not self._core.release_pending(command.request) and not self.releases.in_flight(command.request):
                 return [(b"req-deadline-ms", b"%d" % self._start_sending(command))]
             self._world.sleep_until(self._world.now_us() + timeouts.RELEASE_POLL_US)
 
-    def _check_client_close(self, running: RunningRequest) -> None:
-        """Let the task that watches the client run first: a close that has arrived may still be unread."""
-        for _ in range(timeouts.CLOSE_POLLS):
-            if running.exchange.disconnected or running.exchange.stream.is_idle():
-                return
-            self._world.sleep_until(self._world.now_us() + timeouts.CLOSE_POLL_US)
-
     def _start_sending(self, command: c.Read | c.Write) -> int:  # the milliseconds left for the attempt
         remaining_ms = self._core.start_sending(self._world.now_us(), command.request, command.attempt)
         if not remaining_ms:
@@ -345,54 +339,6 @@
             self._world.sleep_until(self._world.now_us() + timeouts.FINAL_POLL_US)
         self.perform(self._core.stream_flushed(self._world.now_us(), request))
 
-    # --- places and releases
-
-    def _reserve_place(self, command: c.ReservePlace, running: RunningRequest) -> None:
-        """The task of a call for a place: once its read attempt is written, ask, and report the answer to the core."""
-        read_written = running.read_written.get(command.read_attempt)
-        held: bool | None = False  # nothing was sent
-        requested, began_us = False, self._world.now_us()
-
-        def late_headers() -> http1.Headers:
-            nonlocal requested
-            self._check_client_close(running)
-            if not self._core.may_reserve_place(command.request, command.place, command.read_attempt):
-                raise CallCancelled
-            if not self._core.place_requested(self._world.now_us(), command.request, command.place, command.server):
-                raise CallCancelled
-            running.trace.places_requested += not requested
-            requested = True
-            return []
-
-        try:
-            with self._world.deadline(self._world.now_us() + timeouts.RESERVE_PLACE_US):
-                if read_written is not None:
-                    read_written.wait()
-                if self._core.may_reserve_place(command.request, command.place, command.read_attempt):
-                    self.places_in_flight += 1
-                    try:
-                        held = self._hosts.reserve_place(command.server, running.request_id, late_headers)
-                    finally:
-                        self.places_in_flight -= 1
-                    running.trace.places_refused += held is False
-        except CallCancelled:
-            pass
-        except DeadlineExceeded:
-            held = None if requested else False
-        if requested and held is None:
-            log.write(
-                "place unknown",  # that is, whether the writer holds it
-                id=running.request_id.decode(),
-                at=command.server.name,
-                ms=(self._world.now_us() - began_us) // 1_000,
-            )
-        running.places.pop(command.place, None)
-        self.request_ids.setdefault(command.request, running.request_id)  # a release needs it after the request's end
-        self.perform(
-            self._core.place_answered(self._world.now_us(), command.request, command.place, command.server, held)
-        )
-        self.forget(command.request)
-
     def forget(self, request: int) -> None:
         """Drop the id of a request that neither runs nor has releases to do."""
         if request not in self.running and not self._core.tracks_release(request):
