Bound the releases a second that go out for silent servers, however many are owed

Seen (trial on the virtual clock, 5,000 calls owed at 20 silent servers for 25 s): 100,000 repeated releases asked for, 4,000 a second; as probes tell when a server answers, so many buy nothing. Change: from one repeat to the next, over all requests whose servers are silent, 10 ms at least. Up to 45 owed nothing changes. The test for it asks for 100 a second over 100 s and that each request has its turn.

--- a/tests/test_unread_calls.py
+++ b/tests/test_unread_calls.py
@@ -8,7 +8,7 @@
 
 from tests.platform_standin import MAX_REPEATS_US, SETTINGS, Host, Platform, read
 from tests.test_node import readers, run_node, writers
-from yardspindle.core.request.repeated_releases import EVEN_PAUSES_US
+from yardspindle.core.request.repeated_releases import EVEN_PAUSES_US, MIN_INTERVAL_US
 from yardspindle.core.request.unread_calls import (
     AFTER_ANSWER_US,
     AFTER_SILENCE_US,
@@ -99,6 +99,17 @@
     assert len(clock.probes) <= 25 * SECOND_US / MAX_PROBE_WAIT_US + 10  # one server, whatever number of calls
 
 
+def test_releases_a_second_are_bounded_however_many_are_owed() -> None:
+    clock = Clock()
+    for request in range(MAX_TRACKED):
+        clock.calls.add(clock.now_us, request, request % 20, is_place=True, silent=True)
+    clock.run(SECOND_US)
+    clock.released.clear()
+    clock.run(100 * SECOND_US)
+    assert len(clock.released) <= 100 * SECOND_US / MIN_INTERVAL_US
+    assert {request for _, request in clock.released} == set(range(MAX_TRACKED))
+
+
 def test_an_answer_to_what_was_sent_before_proves_nothing() -> None:
     """The server may have answered it before it hung, and its answer may have come late."""
     clock = Clock()
--- a/yardspindle/core/request/repeated_releases.py
+++ b/yardspindle/core/request/repeated_releases.py
@@ -14,6 +14,7 @@
 PAUSE_MARGIN_US = 150_000  # other pauses exceed the release time by this: half of what the platform allows beyond it
 EVEN_PAUSES_US = 6_000_000  # for so long the pauses stay the same; then they grow
 GROWTH = 0.25  # of the time since the first repeat, as the least pause
+MIN_INTERVAL_US = 10_000  # from one repeat to the next, over all requests whose servers are silent
 
 
 @dataclass(slots=True)
@@ -67,6 +68,8 @@
                 continue
             due.append(request)
             entry.due_us = now_us + self._next_pause_us(now_us, entry)
+            if request in unproven:
+                entry.due_us = max(entry.due_us, now_us + MIN_INTERVAL_US * len(unproven))
             if entry.due_us > entry.until_us and request not in unproven:
                 del self.entries[request]
             else:
