Let the tasks that call model hosts share one constructor

Change: a base of three lines of purpose, HostTasks in node/host_tasks.py, holds it; behaviour as before.

--- a/yardspindle/node/place_tasks.py
+++ b/yardspindle/node/place_tasks.py
@@ -5,39 +5,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from yardspindle.core.request import commands as c
 from yardspindle.core.request import timeouts
-from yardspindle.core.request.edge_core import EdgeCore
 from yardspindle.node import log
-from yardspindle.node.host_client import CallCancelled, HostClient
+from yardspindle.node.host_client import CallCancelled
+from yardspindle.node.host_tasks import HostTasks
 from yardspindle.node.running_request import RunningRequest
 from yardspindle.protocol import http1
 from yardspindle.runtime.scheduler import DeadlineExceeded
 from yardspindle.runtime.world import World
 
 
-class PlaceTasks:
+@dataclass(eq=False)
+class PlaceTasks(HostTasks):
     """Makes the calls for places that the core asks for."""
 
-    def __init__(
-        self,
-        world: World,
-        core: EdgeCore,
-        hosts: HostClient,
-        ids: dict[int, bytes],
-        perform: Callable[[list[c.Command]], None],
-        forget: Callable[[int], None],
-    ) -> None:
-        """`ids`: of all requests for which something may be held; `forget` is called at the end of each call."""
-        self._world = world
-        self._core = core
-        self._hosts = hosts
-        self._ids = ids
-        self._perform = perform
-        self._forget = forget
-        self.in_flight = 0  # unanswered calls: their places may be held
+    in_flight: int = field(default=0, init=False)  # unanswered calls: their places may be held
 
     def start(self, command: c.ReservePlace, running: RunningRequest) -> None:
         """Ask a writer for a place."""
--- a/yardspindle/node/probe_tasks.py
+++ b/yardspindle/node/probe_tasks.py
@@ -6,39 +6,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from yardspindle.core.hosts.directory import Server
-from yardspindle.core.request import commands as c
-from yardspindle.core.request.edge_core import EdgeCore
 from yardspindle.core.request.unread_calls import Probe
 from yardspindle.node import log
-from yardspindle.node.host_client import CallCancelled, HostClient
+from yardspindle.node.host_client import CallCancelled
+from yardspindle.node.host_tasks import HostTasks
 from yardspindle.protocol import http1
 from yardspindle.runtime.scheduler import DeadlineExceeded
-from yardspindle.runtime.world import DescriptorsExhausted, World
+from yardspindle.runtime.world import DescriptorsExhausted
 
 
-class ProbeTasks:
+class ProbeTasks(HostTasks):
     """Sends the probes that the core asks for."""
 
-    def __init__(
-        self,
-        world: World,
-        core: EdgeCore,
-        hosts: HostClient,
-        ids: dict[int, bytes],
-        perform: Callable[[list[c.Command]], None],
-        forget: Callable[[int], None],
-    ) -> None:
-        """`ids`: of all requests for which something may be held; `forget` is called at the end of each probe."""
-        self._world = world
-        self._core = core
-        self._hosts = hosts
-        self._ids = ids
-        self._perform = perform
-        self._forget = forget
-
     def start(self, probe: Probe, server: Server) -> None:
         """Send a probe."""
         self._world.spawn("probe", self._probe, probe, server)
--- a/yardspindle/node/release_tasks.py
+++ b/yardspindle/node/release_tasks.py
@@ -6,19 +6,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from yardspindle.core.hosts.directory import Server
-from yardspindle.core.request import commands as c
 from yardspindle.core.request import timeouts
-from yardspindle.core.request.edge_core import EdgeCore
 from yardspindle.core.request.request_releases import RequestRelease
 from yardspindle.node import log
-from yardspindle.node.host_client import CallCancelled, HostClient
+from yardspindle.node.host_client import CallCancelled
+from yardspindle.node.host_tasks import HostTasks
 from yardspindle.protocol import http1
 from yardspindle.runtime.scheduler import DeadlineExceeded, Task
-from yardspindle.runtime.world import World
 
 
 @dataclass(slots=True)
@@ -30,29 +27,11 @@
     late: bool = False  # it is overdue and goes on, while other hosts are asked as well
 
 
-class ReleaseTasks:
+@dataclass(eq=False)
+class ReleaseTasks(HostTasks):
     """The release calls in flight, by request."""
 
-    def __init__(
-        self,
-        world: World,
-        core: EdgeCore,
-        hosts: HostClient,
-        ids: dict[int, bytes],
-        perform: Callable[[list[c.Command]], None],
-        forget: Callable[[int], None],
-    ) -> None:
-        """`ids`: of all requests for which something may be held; `forget` is called at the end of each call.
-
-        `world`: the interface to clock, sockets, files and randomness.
-        """
-        self._world = world
-        self._core = core
-        self._hosts = hosts
-        self._ids = ids
-        self._perform = perform
-        self._forget = forget
-        self.running: dict[int, dict[Task, ReleaseCall]] = {}
+    running: dict[int, dict[Task, ReleaseCall]] = field(default_factory=dict, init=False)
 
     def start(self, release: RequestRelease, server: Server) -> None:
         """Ask one host to release all that is held for a request."""
