Repeat releases for silent hosts at even pauses for a minute, 60 a second in all

Cause: RepeatedReleases._next_pause_us bounded the cost by the age of each release; what is to be bounded is the sum. After it, and behind a server's answer, pauses grow as they did.

--- a/yardspindle/core/request/repeated_releases.py
+++ b/yardspindle/core/request/repeated_releases.py
@@ -11,10 +11,11 @@
 from heapq import heappop, heappush
 
 FIRST_PAUSES_US = (120_000, 240_000)  # between the first repeats at a server that reads its connections now
-PAUSE_MARGIN_US = 150_000  # other pauses exceed the release time by this: half of what the platform allows beyond it
-EVEN_PAUSES_US = 6_000_000  # for so long the pauses stay the same; then they grow
-GROWTH = 0.25  # of the time since the first repeat, as the least pause
-MIN_INTERVAL_US = 10_000  # from one repeat to the next, over all requests whose servers are silent
+PAUSE_MARGIN_US = 50_000  # other pauses exceed the release time by this, as the platform's limits do on sockets
+EVEN_PAUSES_US = 6_000_000  # for so long after a server's answer the pauses stay the same; then they grow
+SILENT_EVEN_PAUSES_US = 60_000_000  # the same while a server is silent: twice the longest hang that is expected
+GROWTH = 0.25  # of the time since the entry was scheduled, as the least pause then
+MIN_INTERVAL_US = 1_000_000 // 60  # from one repeat to the next, over all requests whose servers are silent
 
 
 @dataclass(slots=True)
@@ -67,20 +68,22 @@
                 heappush(self._heap, (entry.due_us, request))
                 continue
             due.append(request)
-            entry.due_us = now_us + self._next_pause_us(now_us, entry)
-            if request in unproven:
-                entry.due_us = max(entry.due_us, now_us + MIN_INTERVAL_US * len(unproven))
-            if entry.due_us > entry.until_us and request not in unproven:
+            is_unproven = request in unproven
+            entry.due_us = now_us + self._next_pause_us(now_us, entry, len(unproven) if is_unproven else 0)
+            if entry.due_us > entry.until_us and not is_unproven:
                 del self.entries[request]
             else:
                 heappush(self._heap, (entry.due_us, request))
         return due
 
-    def _next_pause_us(self, now_us: int, entry: RepeatedRelease) -> int:
+    def _next_pause_us(self, now_us: int, entry: RepeatedRelease, unproven_count: int) -> int:
+        """The pause after a repeat; `unproven_count`: the requests with silent servers, 0 if this is none of them."""
         if entry.first_pauses:
             return entry.first_pauses.pop()
         age_us = now_us - entry.since_us
-        return self._pause_us if age_us < EVEN_PAUSES_US else max(self._pause_us, round(GROWTH * age_us))
+        even_us = SILENT_EVEN_PAUSES_US if unproven_count else EVEN_PAUSES_US
+        pause_us = self._pause_us if age_us < even_us else max(self._pause_us, round(GROWTH * age_us))
+        return max(pause_us, MIN_INTERVAL_US * unproven_count)
 
     def forget(self, request: int) -> None:
         """Repeat a request's release no more."""
--- a/yardspindle/core/request/unread_calls.py
+++ b/yardspindle/core/request/unread_calls.py
@@ -4,7 +4,8 @@
 place (memory reserved for a decode), or finishes a read (prefill) and keeps its state, for a request that ended long
 ago. The release sent at that end arrived too early. How long a server stays silent is not known, so no time-out ends
 the tracking: a call is tracked until its server has answered something that was sent after the call was closed, or has
-left the list. Then the request's release is repeated, as it is, with growing pauses, until then.
+left the list. Until then the request's release is repeated at even pauses, and after it as long as the call may still
+take effect.
 
 So that an answer comes as soon as the server runs again, a silent server is sent probes, one at a time: a release of
 one of the requests whose calls it may have. Their number depends on the silent servers, not on the calls.
@@ -29,7 +30,6 @@
 MAX_PROBES = 32  # in flight, each with a connection of its own
 MAX_PROBE_WAIT_US = 2_000_000  # for an answer; then a new connection is made, as the old one may be dead
 PROBE_WAIT_FRACTION = 0.5  # of the time for which a server is silent: how long a probe waits for an answer
-PROBE_PAUSE_FRACTION = 0.01  # of that time, between probes that do not connect; the period at least
 
 
 @dataclass(slots=True)
@@ -198,8 +198,7 @@
         self._servers[probe.server] = at_server  # the others come first now
         at_server.probe = None
         at_server.failed = at_server.failed or answered is False
-        pause_us = round(PROBE_PAUSE_FRACTION * (now_us - at_server.silent_since_us))
-        at_server.due_us = max(now_us, probe.started_us + max(self._period_us, pause_us))
+        at_server.due_us = max(now_us, probe.started_us + self._period_us)
 
     def _remove(self, request: int, server: int) -> None:
         calls = self._servers[server].calls
