Log of a stream's end since when nothing was passed on and nothing was received

A silent host, a host that writes what is no part of an answer, and a client that reads slowly all look the same: "attempt called off", or "stream broken: closed here" where the stream guard itself had ended it.

Change: `attempt failed` and `attempt called off` of a stream that has begun carry `passed_on` and `received`, in milliseconds; a stream that the guard has ended is logged as `stream idle`.

--- a/yardspindle/node/executor.py
+++ b/yardspindle/node/executor.py
@@ -132,6 +132,7 @@
                         stage=_stage(command.server),
                         written=attempt in known.written_attempts,
                         why=command.reason.value,
+                        **known.stream_log_fields(self._world.now_us()),
                     )
             case c.FlushStream(request):
                 known = self.running.get(request)
@@ -195,6 +196,7 @@
                 at=command.server.name,
                 stage=_stage(command.server),
                 status=result.status.value,
+                **running.stream_log_fields(self._world.now_us()),
                 detail=result.detail,
             )
         self.perform(
@@ -311,6 +313,8 @@
                 running.awaiting_host_since_us, tail = self._world.now_us(), (tail + data)[-512:]
             return AttemptResult(i.Status.SERVED, cached_tokens(tail))  # 512 bytes: the count may span pieces
         except ExchangeBroken as error:
+            if guard.expired:
+                return AttemptResult(i.Status.RESET, detail="stream idle: its host has written nothing for too long")
             return AttemptResult(i.Status.RESET, detail=f"stream broken: {error}")
         except http1.ProtocolError as error:  # not RESET: the host answers, so it is not judged unresponsive
             return AttemptResult(i.Status.ERROR, detail=f"stream spoilt: {error}")  # malformed
--- a/yardspindle/node/running_request.py
+++ b/yardspindle/node/running_request.py
@@ -28,3 +28,16 @@
     written_attempts: set[int] = field(default_factory=set)  # attempts whose last byte is written
     awaiting_host_since_us: int = 0  # since when the stream has brought nothing; 0: it waits for its client
     trace: RequestTrace = field(default_factory=lambda: RequestTrace(0))
+
+    def stream_log_fields(self, now_us: int) -> dict[str, int]:
+        """Log fields on the end of an attempt whose stream has begun; in milliseconds.
+
+        `passed_on`: since the client got all that it could get, 0 while it is still being written; `received`: since
+        the host's last byte.
+        """
+        if self.stream is None:
+            return {}
+        return {
+            "passed_on": (now_us - (self.awaiting_host_since_us or now_us)) // 1_000,
+            "received": (now_us - self.stream.last_input_us) // 1_000,
+        }
--- a/yardspindle/node/stream_guard.py
+++ b/yardspindle/node/stream_guard.py
@@ -19,6 +19,7 @@
         self._running = running
         self._stream = stream
         self._cancel: Callable[[], None] = _do_nothing
+        self.expired = False  # the stream was aborted
         self._check()
 
     def stop(self) -> None:
@@ -31,6 +32,7 @@
         silent_since_us = max(self._running.awaiting_host_since_us or now, self._stream.last_input_us)
         due_us = silent_since_us + timeouts.STREAM_IDLE_US
         if now >= due_us and self._stream.is_idle():
+            self.expired = True
             self._stream.abort()
         else:  # not due, or bytes have arrived, which the relaying task reads in this turn of the event loop
             self._cancel = self._world.call_at(max(due_us, now + timeouts.FINAL_POLL_US), self._check)
