Pass on the events that a host wrote just before a spoilt chunk

Cause: ChunkReader.feed raised ProtocolError and dropped the contents of the whole chunks before the malformed one.

Change: it returns them and keeps the reason, which the next read raises. A stream whose first event comes together with a malformed chunk is still a failed attempt that may have run: nothing was passed on, and another host may serve the request (`ResponseStream.check`).

Result: four of the eight new tests in tests/test_answer_progress.py fail without the change, the other four hold the rule on first events; all pass with it.

--- a/tests/test_answer_progress.py
+++ b/tests/test_answer_progress.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from tests.platform_standin import EVENTS, HEAD, Host, Platform, request
-from tests.test_node import ID, first_only, run_node, writers
+from tests.test_node import ID, first_only, run_node, sends, writers
 from tests.test_node_handover import assert_idle
 from yardspindle.core.request import timeouts
 from yardspindle.core.request.answer_progress import AnswerProgress
@@ -90,6 +90,49 @@
     run_node(main)
 
 
+SPOILT_CHUNKS = [
+    b"40000000\r\n" + EVENTS[2],
+    b"g\r\n",
+    b"3\r\n" + EVENTS[2] + b"\r\n",
+    b"0" * 300,
+]
+
+
+@pytest.mark.parametrize("spoilt", SPOILT_CHUNKS)
+def test_events_that_come_together_with_a_spoilt_chunk_are_passed_on(spoilt: bytes) -> None:
+    def script(host: Host, to: Stream, number: bytes) -> bool:
+        host.platform.states.discard(number)
+        to.write(HEAD + http1.write_chunk(EVENTS[0]))
+        host.sleep(50 * MS)
+        to.write(CHUNK * 2 + spoilt)
+        host.sleep(1_000 * MS)
+        return False
+
+    def main(platform: Platform, node: Node) -> None:
+        for host in writers(platform):
+            host.script = script
+        answer = platform.ask(ID)
+        assert (answer.whole, answer.body) == (False, EVENTS[0] + EVENTS[1] * 2)
+        assert answer.took_us < 500 * MS
+
+    run_node(main)
+
+
+@pytest.mark.parametrize("spoilt", SPOILT_CHUNKS)
+def test_a_first_event_that_comes_together_with_a_spoilt_chunk_is_no_answer(spoilt: bytes) -> None:
+    """Nothing was passed on yet: the request is served by another host."""
+
+    def main(platform: Platform, node: Node) -> None:
+        once_only = first_only(sends(HEAD + http1.write_chunk(EVENTS[1]) + spoilt))
+        for host in writers(platform):
+            host.script = once_only
+        answer = platform.ask(ID)
+        assert (answer.whole, answer.body) == (True, b"".join(EVENTS))
+        assert platform.calls_of(ID).count("write") == 2
+
+    run_node(main)
+
+
 def padded(event: bytes) -> bytes:
     return b"%06x\r\n%s\r\n" % (len(event), event)
 
--- a/tests/test_no_cycles.py
+++ b/tests/test_no_cycles.py
@@ -7,13 +7,25 @@
 
 import pytest
 
-from tests.platform_standin import Platform, read_answer, request
-from tests.test_node import run_node
+from tests.platform_standin import EVENTS, HEAD, Host, Platform, read_answer, request
+from tests.test_node import run_node, writers
 from yardspindle.node.app import Node
+from yardspindle.protocol import http1
 from yardspindle.runtime.world import Stream
 
 # Of what the program has for a connection or a request. The stand-ins may have cycles of their own.
-OWN_TYPES = ("RequestQueue", "Exchange", "RunningRequest", "StallGuard", "Reservation", "BodyBuffer", "Connection")
+OWN_TYPES = (
+    "RequestQueue",
+    "Exchange",
+    "RunningRequest",
+    "StallGuard",
+    "Reservation",
+    "BodyBuffer",
+    "Connection",
+    "ResponseStream",
+    "ChunkReader",
+    "StreamGuard",
+)
 HALF = b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 9000\r\n\r\n" + b"x" * 4_000
 
 
@@ -42,6 +54,28 @@
     platform.sleep(3_000_000)
 
 
+def write_spoilt(platform: Platform, spoilt: bytes, times: int) -> None:
+    """Let writers spoil their streams after an event, by bytes that they write several times."""
+
+    def script(host: Host, to: Stream, number: bytes) -> bool:
+        host.platform.states.discard(number)
+        to.write(HEAD + http1.write_chunk(EVENTS[0]))
+        for _ in range(times):
+            host.sleep(1_500_000)
+            to.write(spoilt)
+        host.sleep(1_000_000)
+        return False
+
+    for host in writers(platform):
+        host.script = script
+
+
+def spoilt(to: Stream, platform: Platform, at: int) -> None:
+    write_spoilt(platform, http1.write_chunk(EVENTS[1]) + b"40000000\r\n", 1)
+    to.write(request(b"spoilt-%d" % at))
+    assert read_answer(platform.clients, to, 0).body == EVENTS[0] + EVENTS[1]
+
+
 @pytest.fixture
 def no_collection() -> Iterator[None]:
     gc.collect()
@@ -52,7 +86,7 @@
     gc.enable()
 
 
-@pytest.mark.parametrize("step", [served, left, malformed, refused, half])
+@pytest.mark.parametrize("step", [served, left, malformed, refused, half, spoilt])
 def test_a_request_that_is_over_leaves_no_cycle(
     step: Callable[[Stream, Platform, int], None], no_collection: None
 ) -> None:
--- a/yardspindle/node/executor.py
+++ b/yardspindle/node/executor.py
@@ -289,6 +289,7 @@
             received += data
             if not received.startswith(EVENT_PREFIX[: len(received)]) or len(received) > MAX_FIRST_EVENT_BYTES:
                 raise http1.ProtocolError("stream does not begin with an event")
+        stream.check()  # nothing was passed on yet: another host may still serve the request
         return received
 
     def _relay(
--- a/yardspindle/node/host_client.py
+++ b/yardspindle/node/host_client.py
@@ -96,6 +96,7 @@
 
     def _parse(self) -> bytes:
         """Parse what was received last; returns the contents that it completes. Raises ProtocolError."""
+        self.check()
         if not self._unparsed:
             return b""
         data, self._unparsed = self._unparsed, b""
@@ -103,6 +104,11 @@
         self._progress.received(self.last_input_us, self._chunks.content_bytes, self._chunks.plain_framing)
         return contents
 
+    def check(self) -> None:
+        """Raise ProtocolError if what was received behind all that `read` has returned is malformed."""
+        if self._chunks.error_reason:
+            raise http1.ProtocolError(self._chunks.error_reason)
+
     def complete_events(self) -> bytes:
         """Take the complete events of an incomplete chunk; they are not returned again."""
         return self._chunks.take_partial(EVENT_ENDS)
--- a/yardspindle/protocol/chunks.py
+++ b/yardspindle/protocol/chunks.py
@@ -35,6 +35,7 @@
         "_tail",
         "_trailer_lines",
         "ended",
+        "error_reason",
         "plain_framing",
     )
 
@@ -47,6 +48,7 @@
         self._trailer_lines = 0  # lines from the last chunk's size line on
         self._returned_bytes = 0
         self.ended = False
+        self.error_reason = ""  # what is wrong behind the chunks that `feed` has returned
         self.plain_framing = True  # since the last content only such framing has arrived as every sender has to write
 
     @property
@@ -60,9 +62,28 @@
         return self._buffer
 
     def feed(self, data: bytes) -> bytes:
-        """Add received bytes and return the contents of the chunks that they complete. Raises ProtocolError."""
+        """Add received bytes and return the contents of the chunks that they complete.
+
+        Raises ProtocolError for the first malformed chunk, unless whole ones precede it: then its reason is kept.
+        """
         buffer = self._buffer + data if self._buffer else data
-        at, contents = 0, []
+        contents: list[bytes] = []
+        try:
+            at = self._read_chunks(buffer, contents)
+        except ProtocolError as error:
+            if not contents:
+                raise
+            self.error_reason = error.reason
+            at = len(buffer)
+        self._buffer = buffer[at:]
+        content = contents[0] if len(contents) == 1 else b"".join(contents)
+        self._tail = (self._tail + content)[-TAIL_BYTES:]
+        self._returned_bytes += len(content)
+        return content
+
+    def _read_chunks(self, buffer: bytes, contents: list[bytes]) -> int:
+        """Append what can be returned to `contents`; returns where the rest begins. Raises ProtocolError."""
+        at = 0
         while not self.ended:
             if self._missing_bytes < 0:
                 line_end = self._find_line_end(buffer, at)
@@ -84,11 +105,7 @@
                 break
             contents.append(buffer[at:end])
             at, self._missing_bytes = end + 2, -1
-        self._buffer = buffer[at:]
-        content = contents[0] if len(contents) == 1 else b"".join(contents)
-        self._tail = (self._tail + content)[-TAIL_BYTES:]
-        self._returned_bytes += len(content)
-        return content
+        return at
 
     def _find_line_end(self, buffer: bytes, at: int) -> int:
         """Where the line that begins at `at` ends; -1 if its end has not arrived. Raises ProtocolError."""
