Let a deadline that has passed keep no reference to the frames it was raised in

Cause: Deadline keeps the error that it raises, to tell whether it has passed; the error's traceback refers to frames, and their local variables to the deadline.

Change: the deadline notes at the block's end whether its error was raised, and lets go of it.

Result: the step fails without the change and passes with it; the tests of the runtime pass.

--- a/tests/test_no_cycles.py
+++ b/tests/test_no_cycles.py
@@ -76,6 +76,12 @@
     assert read_answer(platform.clients, to, 0).body == EVENTS[0] + EVENTS[1]
 
 
+def endless(to: Stream, platform: Platform, at: int) -> None:
+    write_spoilt(platform, b"0", 4)
+    to.write(request(b"endless-%d" % at))
+    assert read_answer(platform.clients, to, 0).body == EVENTS[0]
+
+
 @pytest.fixture
 def no_collection() -> Iterator[None]:
     gc.collect()
@@ -86,7 +92,7 @@
     gc.enable()
 
 
-@pytest.mark.parametrize("step", [served, left, malformed, refused, half, spoilt])
+@pytest.mark.parametrize("step", [served, left, malformed, refused, half, spoilt, endless])
 def test_a_request_that_is_over_leaves_no_cycle(
     step: Callable[[Stream, Platform, int], None], no_collection: None
 ) -> None:
--- a/yardspindle/runtime/scheduler.py
+++ b/yardspindle/runtime/scheduler.py
@@ -121,14 +121,13 @@
 class Deadline:
     """Context manager that raises `DeadlineExceeded` in its block once the clock reaches `at_us`."""
 
-    __slots__ = ("_scheduler", "_at_us", "_timer", "_task", "_error")
+    __slots__ = ("_scheduler", "_at_us", "_timer", "_task", "_error", "_passed")
 
     def __init__(self, scheduler: Scheduler, at_us: int) -> None:
         """Create a deadline; called by `Scheduler.deadline`."""
-        self._scheduler = scheduler
-        self._at_us = at_us
+        self._scheduler, self._at_us = scheduler, at_us
         self._timer: TimerHandle | None = None
-        self._error = DeadlineExceeded()
+        self._error, self._passed = DeadlineExceeded(), False
 
     def __enter__(self) -> Deadline:
         """Set the timer."""
@@ -142,17 +141,18 @@
     @property
     def passed(self) -> bool:
         """Whether this deadline, as opposed to an enclosing one, raised its error in the block."""
-        return self._error.__traceback__ is not None  # an error gets a traceback when it is raised
+        return self._passed  # known once the block has ended
 
     def __exit__(
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
-        """Cancel the timer, and discard the error if the deadline passed but the error was not raised yet."""
+        """Cancel the timer. Discard the error, raised or not: its traceback holds frames that hold this deadline."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         if self._error in self._task.interrupts:
             self._task.interrupts.remove(self._error)
+        self._passed, self._error = self._error.__traceback__ is not None, DeadlineExceeded()
 
 
 class Scheduler:
