Play spoilt and slowly written streams in the soak, and judge when they end

Change: writers spoil their streams after one to four events (a chunk of gigabytes, size lines, extensions and trailers without end) or write one event for 5.4 s; twice each in a run, at times from a generator of their own, so that a seed draws the same other faults as before. The judge finds clients that wait over 5 s after the last event, and slow streams that are cut while nothing excuses it. The run counts both kinds.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -73,6 +73,14 @@
         else:
             await self._dispatcher_fault(kind, rng.choice(list(self.current)))
 
+    def _disturb_streams(self, kind: str, choice: int, seconds: float) -> None:
+        """Let one writer spoil or slow down the streams that it begins."""
+        writers = [host for host in self.hosts.values() if host.role == "write"]
+        host = writers[choice % len(writers)]
+        self.injected[f"host {kind}"] += 1
+        self.log_event(f"host {kind} {seconds:.2f} s at {host.name}")
+        host.inject_fault(kind, seconds)
+
     async def _freeze(self, hosts: list[SoakHost], seconds: float) -> None:
         group = self._mark_silent([host for host in hosts if host.process.poll() is None], seconds)
         self.log_event(f"freeze {seconds:.2f} s at {' '.join(h.name for h in group)}")
@@ -236,6 +244,7 @@
         ]
         faults = [asyncio.create_task(self._inject_at(at, kind)) for at, kind in self._draw_faults()]
         faults.append(asyncio.create_task(self.crowds.run(lambda: self.ports, self.log_event)))
+        faults.append(asyncio.create_task(self.stream_faults.run(self._disturb_streams)))
         sampling = asyncio.create_task(
             self.memory.watch(lambda: [run.process.pid for run in self.current.values() if run.process.poll() is None])
         )
@@ -314,6 +323,8 @@
             "fullest of them": round(max((load.ratio for load in self.loads), default=0.0), 2),
             "releases": kinds["freed"],
             "places": kinds["placed"],
+            "spoilt streams": kinds["spoilt"],
+            "slow streams": kinds["slow stream"],
             "shut unread": self.closed_unread,
             "crowds": self.plan.crowds,
             f"peak MiB of {self.crowds.memory_mb}": round(max(self.memory.peaks.values(), default=0.0), 1),
--- a/tests/soak_host.py
+++ b/tests/soak_host.py
@@ -26,6 +26,7 @@
 from tests.crossing_messages import DONE, EVENT, HEAD, LAST_CHUNK, Message, chunk, plain, read_message
 from tests.crossing_parties import SO_TIMESTAMPNS, UNKNOWN_READ_S
 from tests.soak_slow_start import COLD_S, WARM_RATE_PER_S, warmth
+from tests.soak_streams import spoil, trickle
 
 BACKLOG = 2  # connections that are established while the process is stopped; further ones hang
 # Of the kernel's interface for socket states.
@@ -63,6 +64,7 @@
         self.random = random.Random(f"{name} {monotonic()}")
         self.fault_ends: dict[str, float] = {}  # end time of each active fault, by kind
         self.muted_since = 0.0
+        self.reset_at = 0.0  # when all connections were reset last
         self.connections: set[socket.socket] = set()
         self.listener = socket.create_server((address, port), backlog=BACKLOG)
         self.listener.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
@@ -95,6 +97,7 @@
         for line in sys.stdin:
             kind, seconds = line.split()
             if kind == "reset":
+                self.reset_at = monotonic()
                 for sock in list(self.connections):
                     with contextlib.suppress(OSError):
                         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -215,12 +218,27 @@
         """Send all events but the last; returns the complete stream."""
         whole = EVENT * EVENTS + DONE
         self.record("stream", request_id, attempt=attempt, events=whole.decode())
+        if self.has_fault("spoil"):
+            spoil(sock, wait, lambda what, **more: self.record(what, request_id, **more))
+            raise ConnectionEnded
         for at in range(EVENTS):
             if at:
                 wait(sock, EVENT_S)
-            sock.sendall((b"" if at else HEAD) + chunk(EVENT))
+            if at == 1 and self.has_fault("trickle"):
+                self._trickle(sock, request_id)
+            else:
+                sock.sendall((b"" if at else HEAD) + chunk(EVENT))
         return whole
 
+    def _trickle(self, sock: socket.socket, request_id: bytes) -> None:
+        begun = monotonic()
+        self.record("slow stream", request_id)
+        try:
+            trickle(sock, wait)
+        except (OSError, ConnectionEnded):
+            self.record("slow stream cut", request_id, begun=begun, reset=self.reset_at >= begun)
+            raise
+
     def _reserve_place(self, sock: socket.socket, request_id: bytes) -> None:
         self.record("placed", request_id)  # from here on the place may be held, whether or not the answer arrives
         read = self.folder / "reads" / request_id.decode()
--- a/tests/soak_judge.py
+++ b/tests/soak_judge.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from tests.crossing_ledger import DECLINED, Attempt, Request
+from tests.soak_streams import Disturbances, judge_streams
 
 if TYPE_CHECKING:
     from tests.soak_parties import DispatcherRun
@@ -67,7 +68,8 @@
         for at, kind, number in ledger.hold_changes
         if number not in excluded and not (kind == "placed" and at > ended)
     ]
-    return ledger.judge()
+    disturbances = Disturbances(run.killed is not None or ledger.sigterm_at is not None, frozen)
+    return ledger.judge() + judge_streams(ledger, rows, disturbances)
 
 
 def _last_run_time(host: str, died: float, frozen: Frozen) -> float:
--- a/tests/soak_parties.py
+++ b/tests/soak_parties.py
@@ -24,6 +24,7 @@
 from tests.ports import port_of, reserve_port
 from tests.soak_crowd import Crowds, PeakMemory
 from tests.soak_slow_start import OBLIGATIONS, ColdStart
+from tests.soak_streams import StreamFaults
 from tests.soak_withheld import SoakLedger, WithheldTime
 
 ROOT = Path(__file__).parent.parent
@@ -52,6 +53,7 @@
     faults: int = 24
     cold_returns: int = 2  # faults in which hosts restart cold while the other hosts of their role fail
     crowds: int = 2  # of bad clients, each at one dispatcher
+    streams: int = 4  # faults in which a writer spoils its streams, or writes them slowly
 
 
 @dataclass
@@ -141,6 +143,7 @@
         self.silent: dict[str, float] = {}  # stopped hosts and hosts with silent connections: end of the silence
         self.frozen: list[tuple[str, float, float]] = []  # host, begin and end of each stop
         self.crowds = Crowds(seed, plan.seconds, plan.crowds)
+        self.stream_faults = StreamFaults(seed, plan.seconds, plan.streams)
         self.memory = PeakMemory()
         self.event_log: list[str] = []
         self.began = monotonic()
