Refuse a spoilt size line at once also where the chunk before it was passed on early

Found by reading the change of again: where all of a chunk's content had been passed on before its end, feed saw the rest of it as a whole chunk without content, kept the error behind it and waited for more input; a silent host's stream would then end by the idle time, 4.5 s.

Change: only chunks that have content put off the error.

Result: the new test fails without the change and passes with it; 177 tests of streams and parsers pass.

--- a/tests/test_answer_progress.py
+++ b/tests/test_answer_progress.py
@@ -237,6 +237,13 @@
             reader.feed(line[at : at + 1])
 
 
+def test_a_spoilt_line_is_refused_at_once_behind_a_chunk_that_was_returned_before_its_end() -> None:
+    reader = ChunkReader(0x40000)
+    assert reader.feed(CHUNK[:-2]) == b"" and reader.take_partial((b"\n\n",)) == EVENTS[1]
+    with pytest.raises(http1.ProtocolError):
+        reader.feed(CHUNK[-2:] + b"40000000\r\n")
+
+
 @pytest.mark.parametrize(
     ("data", "is_plain"),
     [
--- a/yardspindle/protocol/chunks.py
+++ b/yardspindle/protocol/chunks.py
@@ -71,7 +71,7 @@
         try:
             at = self._read_chunks(buffer, contents)
         except ProtocolError as error:
-            if not contents:
+            if not any(contents):
                 raise
             self.error_reason = error.reason
             at = len(buffer)
