--- a/yardspindle/core/request/timeouts.py
+++ b/yardspindle/core/request/timeouts.py
@@ -16,7 +16,7 @@
 RESPONSE_HEAD_US = 500_000  # from the first byte of a head to its last
 RESPONSE_BODY_US = 500_000  # from the head of a short complete answer to its end
 FIRST_EVENT_US = 500_000  # from the head to the end of the first event
-STREAM_IDLE_US = 4_500_000  # for a stream that brings nothing; its client waits 5 s at most
+STREAM_IDLE_US = 4_500_000  # for a stream that brings nothing of its answer; its client waits 5 s at most
 # How long complete events wait in an HTTP chunk that stays incomplete, before they are passed on without the rest of
 # the chunk. An event is late if the client gets it more than 0.3 s after the host wrote it. The first event waits
 # longer than later ones: once it is passed on, the request cannot be retried at another host.
--- a/yardspindle/node/stream_guard.py
+++ b/yardspindle/node/stream_guard.py
@@ -11,7 +11,7 @@
 
 
 class StreamGuard:
-    """Watches the stream of one request; every byte of the host counts, also of an event that is not complete."""
+    """Watches the stream of one request for silence; `ResponseStream.read` raises if what comes is no answer."""
 
     def __init__(self, world: World, running: RunningRequest, stream: ResponseStream) -> None:
         """Begin to watch."""
