Replace a test of late size lines that could not fail by two that do

Seen by reading the change again: test_framing_that_is_read_late_is_not_overdue_while_more_is_unread passed also without the look at unread input in ResponseStream.read, and without the time from which content is awaited: its client and its stop did not meet a size line that was due.

Change: one test stops the process as the time of a size line is up and its rest arrives; the other comes back to a stream after longer than the idle time. Each fails when the condition that it guards is taken out (tried), and passes now.

--- a/tests/test_answer_progress.py
+++ b/tests/test_answer_progress.py
@@ -4,17 +4,20 @@
 
 from collections.abc import Iterator
 from itertools import chain, repeat
+from typing import Any
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.platform_standin import EVENTS, HEAD, Host, Platform, request
+from tests.platform_standin import EVENTS, HEAD, Host, Platform
 from tests.test_node import ID, first_only, run_node, sends, writers
-from tests.test_node_handover import assert_idle
+from tests.test_node_handover import assert_idle, set_fixed_latency
 from yardspindle.core.request import timeouts
 from yardspindle.core.request.answer_progress import AnswerProgress
+from yardspindle.engine.http_client import HttpClient
 from yardspindle.node.app import Node
+from yardspindle.node.host_client import ResponseStream
 from yardspindle.protocol import http1
 from yardspindle.protocol.chunks import ChunkReader
 from yardspindle.runtime.world import Stream, StreamError
@@ -176,39 +179,54 @@
     run_node(main)
 
 
-def test_framing_that_is_read_late_is_not_overdue_while_more_is_unread() -> None:
-    """The client takes nothing for a while, and then the process is stopped inside a size line of the stream."""
-    events = [b"data: " + b"x" * 100_000 + b"\n\n", EVENTS[-1]]
+SIZE_LINE = b"0000", SIZE + b"\r\n"  # a sound one, in two pieces: its leading zeros are no progress
+
+
+def test_a_size_line_whose_end_lies_unread_is_not_overdue() -> None:
+    """The process is stopped as the time is up, and the rest of the line arrives meanwhile."""
 
     def script(host: Host, to: Stream, number: bytes) -> bool:
         host.platform.states.discard(number)
-        to.write(HEAD + http1.write_chunk(EVENTS[0]))
-        to.write(padded(events[0]) + padded(events[1])[:3])
-        host.sleep(timeouts.STREAM_IDLE_US + 1_000 * MS)
+        to.write(HEAD + http1.write_chunk(EVENTS[0]) + SIZE_LINE[0])
+        host.sleep(timeouts.STREAM_IDLE_US - 100 * MS)
         world[0].stall()
-        to.write(padded(events[1])[3:] + http1.LAST_CHUNK)
+        to.write(SIZE_LINE[1] + EVENTS[1] + b"\r\n" + http1.LAST_CHUNK)
         host.sleep(500 * MS)
         world[0].resume()
         return True
 
     def main(platform: Platform, node: Node) -> None:
+        set_fixed_latency(platform)
         world.append(node.world)
         for host in writers(platform):
             host.script = script
-        client = platform.connect()
-        client.write(request(ID))
-        platform.sleep(timeouts.STREAM_IDLE_US)
-        parser, body = http1.ResponseParser(), b""
-        parser.expect_response(b"POST")
-        while not isinstance(event := parser.next_event(), http1.End):
-            body += event.data if isinstance(event, http1.Data) else b""
-            if event is None:
-                data = client.read(20_000)
-                assert data, "the response broke off"
-                parser.feed(data)
-        assert body == EVENTS[0] + b"".join(events)
-
-    world: list = []  # type: ignore[type-arg]
+        answer = platform.ask(ID)
+        assert (answer.whole, answer.body) == (True, EVENTS[0] + EVENTS[1])
+
+    world: list[Any] = []
+    run_node(main)
+
+
+def test_a_size_line_is_not_overdue_for_the_time_in_which_nothing_was_awaited() -> None:
+    """A client that reads slowly keeps the relay from reading on for longer than the idle time."""
+
+    def script(host: Host, to: Stream, number: bytes) -> bool:
+        to.write(HEAD + http1.write_chunk(EVENTS[0]) + SIZE_LINE[0])
+        host.sleep(timeouts.STREAM_IDLE_US + 1_000 * MS)
+        to.write(SIZE_LINE[1] + EVENTS[1] + b"\r\n" + http1.LAST_CHUNK)
+        return True
+
+    def main(platform: Platform, node: Node) -> None:
+        writer = writers(platform)[0]
+        writer.script = script
+        address, _, port = writer.address.rpartition(":")
+        client = HttpClient(platform.clients, connect_us=1_000 * MS, idle_us=1_000 * MS)
+        stream = ResponseStream(client.request(address, int(port), b"POST", b"/", [(b"req-id", ID)]))
+        assert stream.read(100 * MS) == EVENTS[0]
+        platform.sleep(timeouts.STREAM_IDLE_US + 500 * MS)
+        assert stream.read(100 * MS) == EVENTS[1]
+        assert stream.read(100 * MS) is None
+
     run_node(main)
 
 
