--- a/review/standins-2/parties.py
+++ b/review/standins-2/parties.py
@@ -27,9 +27,11 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 LOOPBACK = "127.0.0.1"
+LIST_PIECES = 25
 SLACK_S = 0.05  # PROTOCOL.md: every time limit is 50 ms longer
 HELD_SLACK_S = 0.3  # PROTOCOL.md: the rule on what is held has 300 ms more
 FINAL_SLACK_S = 0.5  # STANDING.md: later than half a second after its time a request without an answer is lost
+LEFT_S = 0.1  # STANDING.md: an attempt that begins later than this after its client left is a break
 UNKNOWN_READ_S = 0.3  # PROTOCOL.md: a writer answers 204 after 0.3 s if no read is out
 
 # The form of WIRE's example, with the figures of the site file kigali-main of the users' kit.
@@ -490,6 +492,7 @@
         self.platform, self.name = platform, name
         self.listener = Listener(self._serve, platform.record)
         self.answer_delay_s = 0.0
+        self.list_takes_s = 0.0  # a whole list comes in pieces, evenly over this time
         self.told: dict[str, float] = {}  # when a drain was first written to the dispatcher
 
     @property
@@ -513,7 +516,15 @@
             if connection.is_closed():
                 record.add(self.name, "has no one to answer: the dispatcher has closed", call=target)
                 return
-            await connection.write(plain(200, json.dumps(self.platform.listed()).encode()))
+            answer = plain(200, json.dumps(self.platform.listed()).encode())
+            size = -(-len(answer) // LIST_PIECES) if self.list_takes_s else len(answer)
+            for at in range(0, len(answer), size):
+                if at:
+                    await asyncio.sleep(self.list_takes_s / (LIST_PIECES - 1))
+                if connection.is_closed():
+                    record.add(self.name, "is cut off by the dispatcher", call=target, bytes=f"{at}/{len(answer)}")
+                    return
+                await connection.write(answer[at : at + size])
             record.add(self.name, "answers", call=target, revision=self.platform.revision)
             for host in self.platform.hosts.values():
                 if host.phase != "Ready":
@@ -863,7 +874,9 @@
         """No attempt begins more than 0.1 s after its client has closed its connection."""
         for first, _, host, stage, number in self.attempts:
             sent = self.sent.get(number)
-            if sent is not None and stage != "place" and sent.left is not None and first > sent.left + 0.1 + SLACK_S:
+            if stage == "place" or sent is None or sent.left is None:
+                continue
+            if first > sent.left + LEFT_S + SLACK_S:
                 self.record.breaks(
                     f"lost: {stage} of {number} at {host} {first - sent.left:.3f} s after its client left"
                 )
