--- a/review/standins-2/parties.py
+++ b/review/standins-2/parties.py
@@ -558,6 +558,7 @@
         self.port = free_port()
         self.process: subprocess.Popen[bytes] | None = None
         self.starts = 0
+        self.started = 0.0  # the first moment of its process
         self.killed: float | None = None
         self.terminated: float | None = None
 
@@ -592,6 +593,7 @@
     async def start(self) -> None:
         """Start it as the platform does."""
         self.starts += 1
+        self.started = self.platform.record.now()
         self.killed = self.terminated = None
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         scratch = self.platform.folder / f"tmp-{self.name}-{self.starts}"
