Keep a request's id for the release of a place whose call outlived the request

Cause: moved the time limit of a call for a place from the task into a timer, and with it the report to the core, but not the line that keeps the request's id for the release that follows (PlaceTasks._overdue). Only a request that ends with its call for a place unanswered and not given up, as one whose read is declined, meets it.

Change: all three reports of a call's end go through one function that keeps the id.

Test: test_a_place_that_outlives_its_request_is_released_by_the_request_id fails at (a late answer is awaited, the id is gone) and passes now.

--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -4,9 +4,10 @@
 
 import pytest
 
-from tests.platform_standin import MAX_REPEATS_US, SETTINGS, Host, Platform, read
+from tests.platform_standin import MAX_REPEATS_US, SETTINGS, Host, Platform, plain, read
 from tests.test_node import readers, run_node, writers
 from yardspindle.core.request.late_answers import MAX_AWAITED, LateAnswers, LateCall
+from yardspindle.core.request.timeouts import RESERVE_PLACE_US
 from yardspindle.core.request.unread_calls import MAX_PROBE_WAIT_US
 from yardspindle.node.app import Node
 from yardspindle.runtime.virtual_network import NetworkPath
@@ -152,6 +153,39 @@
     return sum(stream.world.name == "node" for stream in platform.sim.network.streams)
 
 
+def test_a_place_that_outlives_its_request_is_released_by_the_request_id() -> None:
+    """The read is declined, so the request ends with its call for a place unanswered; that call's time passes later.
+
+    Soak seed 1126: the id was forgotten with the request, and the task of the release failed again and again.
+    """
+
+    def main(platform: Platform, node: Node) -> None:
+        for host in readers(platform):
+            host.script = declines
+        for host in writers(platform):
+            host.world.stall()
+        assert platform.ask(b"id", b"ask", 500).status == 503
+        platform.sleep(RESERVE_PLACE_US)
+        assert len(node.core.late_answers) and node.executor.request_ids
+        calls: list[tuple[int, str, bytes]] = []
+        platform.record_call = lambda what, host, number: calls.append((platform.sim.now_us(), what, number))  # type: ignore[method-assign]
+        for host in writers(platform):
+            host.world.resume()
+        platform.sleep(2_000_000)
+        placed_us = max(at for at, what, _ in calls if what == "place")
+        assert any(what == "free" and placed_us <= at <= placed_us + HELD_LIMIT_US for at, what, _ in calls)
+        platform.sleep(MAX_REPEATS_US)
+        assert not len(node.core.late_answers) and not node.core.needs_tick and not node.executor.request_ids
+
+    run_node(main)
+
+
+def declines(host: Host, to: Stream, number: bytes) -> bool:
+    host.sleep(20_000)
+    to.write(plain(503, b"", (b"srv-declined", b"1")))
+    return True
+
+
 def test_a_host_that_left_the_list_is_not_waited_for() -> None:
     def main(platform: Platform, node: Node) -> None:
         scene = Scene(platform, node)
--- a/yardspindle/node/place_tasks.py
+++ b/yardspindle/node/place_tasks.py
@@ -87,7 +87,9 @@
         call.given_up = True
         self._log_unknown(call)
         command = call.command
-        self._perform(self._core.place_overdue(self._world.now_us(), command.request, command.place, command.server))
+        self._settle(
+            call, self._core.place_overdue(self._world.now_us(), command.request, command.place, command.server)
+        )
 
     def _reserve(self, call: PlaceCall) -> None:
         """The task of a call for a place: ask, and report the answer to the core."""
@@ -148,9 +150,8 @@
         command = call.command
         if held is None:
             self._log_unknown(call)
-        self._ids.setdefault(command.request, call.request_id)  # a release needs it after the request's end
-        self._perform(
-            self._core.place_answered(self._world.now_us(), command.request, command.place, command.server, held)
+        self._settle(
+            call, self._core.place_answered(self._world.now_us(), command.request, command.place, command.server, held)
         )
 
     def _report_late(self, call: PlaceCall, held: bool | None) -> None:
@@ -164,7 +165,12 @@
                 held=held,
                 ms=(now_us - call.began_us) // 1_000,
             )
-        self._perform(self._core.late_answer_ended(now_us, command.request, command.place, held))
+        self._settle(call, self._core.late_answer_ended(now_us, command.request, command.place, held))
+
+    def _settle(self, call: PlaceCall, commands: list[c.Command]) -> None:
+        """Carry out what follows from the end of a call; a release among it needs the id, also after the request."""
+        self._ids.setdefault(call.command.request, call.request_id)
+        self._perform(commands)
 
     def _log_unknown(self, call: PlaceCall) -> None:
         log.write(
