Count a place that comes late as held for its request from then on

Nothing was held for the request by what the process knew, so the time limit did not run and the read was awaited; the place was released only 0.8 s later, when the read was over.

Cause: the end of a late call was only a reason to repeat the release after the request's end (UnreadCalls.call_read of; before that nothing told of it at all).

Change: a late answer goes through the same step as an answer to a call that is no longer wanted (HeldResources._release_late_place): of an ended request everything is released, by a release that is pending until confirmed rather than a precautionary one; of an open one the place counts as held from then on, so that an attempt that no running server is known to have is aborted within the limit. 409 releases nothing; a close without an answer has the release repeated 0.12 s later.

--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -6,7 +6,23 @@
 
 from tests.platform_standin import MAX_REPEATS_US, SETTINGS, Host, Platform, plain, read
 from tests.test_node import readers, run_node, writers
+from tests.test_node_cores import (
+    READER,
+    RULES,
+    WRITER,
+    commands_of,
+    kinds,
+    mark_place_requested,
+    mark_written,
+    start_reading,
+    started_core,
+)
+from yardspindle import interface as i
+from yardspindle.core.request import commands as c
+from yardspindle.core.request.edge_core import EdgeCore
+from yardspindle.core.request.held_resources import RELEASE_FRACTION
 from yardspindle.core.request.late_answers import MAX_AWAITED, LateAnswers, LateCall
+from yardspindle.core.request.request_releases import REPEAT_DELAY_US
 from yardspindle.core.request.timeouts import RESERVE_PLACE_US
 from yardspindle.core.request.unread_calls import MAX_PROBE_WAIT_US
 from yardspindle.node.app import Node
@@ -17,6 +33,7 @@
 
 RELEASE_US = SETTINGS["family-info"]["let-go-by-us"]
 HELD_LIMIT_US = RELEASE_US + 300_000 + 50_000  # the rule, what fleets have more, and what sockets have more
+SECOND_US = 1_000_000
 REQUEST_INTERVAL_US = 200_000
 PLACE_UNKNOWN_US = 300_000  # a writer that knows of no read answers so much later
 Call = tuple[int, str, str, bytes]  # time, what is called, host, request
@@ -186,6 +203,63 @@
     return True
 
 
+def test_a_place_that_comes_late_starts_the_time_limit_of_its_request() -> None:
+    """Soak seed 2004: it was held for 0.8 s while the request's next read lay unread at another host."""
+    core = started_core()
+    start_reading(core)
+    mark_written(core, 0)
+    mark_place_requested(core)
+    limit_us = round(RELEASE_FRACTION * RULES.release_us) + 1
+    commands = core.tick(limit_us)
+    assert [type(command) for command in commands if isinstance(command, c.Abort | c.AwaitLateAnswer)] == [
+        c.Abort,
+        c.AwaitLateAnswer,
+    ]
+    confirm_releases(core, limit_us, commands)
+    confirm_releases(core, limit_us + REPEAT_DELAY_US, core.tick(limit_us + REPEAT_DELAY_US))
+    assert not core.release_pending(1)
+    second_us = 1_000_000
+    core.apply_action(second_us, 1, i.Send(1, READER))
+    assert core.start_sending(second_us, 1, 1)
+    core.attempt_written(1, 1)
+    late_us = second_us + 500_000
+    assert not commands_of(c.Abort, core.tick(late_us))
+    assert kinds(core.late_answer_ended(late_us, 1, 1, True)) == []  # a release would harm the read
+    assert not commands_of(c.Abort, core.tick(late_us + limit_us - 2))
+    commands = core.tick(late_us + limit_us)
+    assert len(commands_of(c.Abort, commands)) == len(commands_of(c.SendRequestRelease, commands)) == 1
+
+
+def confirm_releases(core: EdgeCore, now_us: int, commands: list[c.Command]) -> None:
+    for command in commands_of(c.SendRequestRelease, commands):
+        core.request_release_settled(now_us, command.release, command.server.number, True)
+
+
+@pytest.mark.parametrize(("held", "releases"), [(True, 1), (None, 2), (False, 0)])
+def test_what_a_late_answer_says_decides_on_the_releases_of_an_ended_request(held: bool | None, releases: int) -> None:
+    """A place that is held is released once; one that may come to be held, again a little later."""
+    core = started_core()
+    start_reading(core)
+    mark_written(core, 0)
+    mark_place_requested(core)
+    commands = core.client_disconnected(1_000, 1)
+    assert commands_of(c.AwaitLateAnswer, commands) and core.tracks_release(1)
+    for server in (READER, WRITER):
+        core.server_answered(2_000, server, 2_000)
+    for now_us in (3_000, 3_000 + REPEAT_DELAY_US, SECOND_US):
+        confirm_releases(core, now_us, commands)
+        commands = core.tick(now_us)
+    confirm_releases(core, SECOND_US, commands)
+    assert core.tracks_release(1) and not core.needs_tick
+    sent, commands = 0, core.late_answer_ended(2 * SECOND_US, 1, 1, held)
+    for step in range(1, 10):
+        sent += len(commands_of(c.SendRequestRelease, commands))
+        confirm_releases(core, 2 * SECOND_US, commands)
+        commands = core.tick(2 * SECOND_US + step * REPEAT_DELAY_US)
+    assert sent == releases and not core.tracks_release(1)
+    assert core.late_answer_ended(4 * SECOND_US, 1, 1, True) == []
+
+
 def test_a_host_that_left_the_list_is_not_waited_for() -> None:
     def main(platform: Platform, node: Node) -> None:
         scene = Scene(platform, node)
--- a/yardspindle/core/request/edge_core.py
+++ b/yardspindle/core/request/edge_core.py
@@ -120,12 +120,11 @@
         return self._out(now_us, self.lifecycle.place_overdue(now_us, request, number, server))
 
     def late_answer_ended(self, now_us: int, request: int, place: int, held: bool | None) -> list[c.Command]:
-        """A writer answered a call for a place that was given up, or (None) its connection ended: release the place."""
+        """A writer answered a call for a place that was given up, or (None) may hold it without having said so."""
         call = self.late_answers.remove(request, place)
-        if call is not None and held is not False:
-            self.unread_calls.call_read(now_us, request, answered=bool(held))
-            self._repeat_due_releases(now_us)
-        return self._due_releases(now_us)
+        if call is None:
+            return []
+        return self._out(now_us, self.lifecycle.late_place_answered(now_us, request, held))
 
     def close_oldest_late_answer(self, now_us: int) -> list[c.Command]:
         """A descriptor is needed: await one late answer less."""
--- a/yardspindle/core/request/held_resources.py
+++ b/yardspindle/core/request/held_resources.py
@@ -108,7 +108,10 @@
         if record is not None:
             record.unanswered_places.pop(number, None)
         if record is None or place is None or place.number != number:
-            self._late_place_answer(now_us, record, request, number, server, held)
+            if held is not False and not self.rules.release_by_request:
+                self._commands.append(c.ReleasePlace(request, number, server))
+            elif held is not False:
+                self._release_late_place(now_us, request, repeat=False)
             return self._take_commands()
         if held is None and self.rules.release_by_request:
             return self._take_commands()  # a place held after all is used by a write or released with the request
@@ -124,21 +127,27 @@
             self._notify(record, i.Note(request, record.attempt.number, record.attempt.server.number, held))
         return self._take_commands()
 
-    def _late_place_answer(
-        self, now_us: int, record: RequestRecord | None, request: int, number: int, server: Server, held: bool | None
-    ) -> None:
-        """Release a place that was granted, or may have been, after it was no longer wanted."""
-        if held is False:
+    def late_place_answered(self, now_us: int, request: int, held: bool | None) -> list[c.Command]:
+        """A writer has read a call for a place that was given up; None: it does not say whether it holds the place."""
+        if held is not False:
+            self._release_late_place(now_us, request, repeat=held is None)
+        return self._take_commands()
+
+    def _release_late_place(self, now_us: int, request: int, repeat: bool) -> None:
+        """Release a place that a writer holds, or may hold, after it was no longer wanted.
+
+        While an attempt is in flight that the release would harm, the time limit on what is held runs from now on.
+        """
+        record = self.requests.get(request)
+        if record is None:
+            self._commands.append(c.ReleaseAll(request, repeat))
             return
-        if not self.rules.release_by_request:
-            self._commands.append(c.ReleasePlace(request, number, server))
-        elif record is None:
-            self._commands.append(c.ReleaseAll(request, repeat=False))
-        else:  # an earlier release may have arrived before the call for the place
-            self._mark_held(now_us, record)
-            # A release now would free a held state too; the place is released together with that state later.
-            if record.state_server is None:
-                self._release(record)
+        # An earlier release may have arrived before the call for the place.
+        self._mark_held(now_us, record)
+        record.may_hold_later = record.may_hold_later or repeat
+        # A release now would free a held state too; the place is released together with that state later.
+        if record.state_server is None:
+            self._release(record)
 
     def _mark_read_accepted(self, read: Attempt) -> None:
         """Called when a writer grants or declines a place: it does so only once a running reader has the read."""
--- a/yardspindle/core/request/unread_calls.py
+++ b/yardspindle/core/request/unread_calls.py
@@ -129,13 +129,6 @@
             self._remove(request, server)
             self._repeat_release(now_us, request, call)
 
-    def call_read(self, now_us: int, request: int, answered: bool) -> None:
-        """A server has read a call for a place that was given up: release the place.
-
-        `answered`: it held the place before its answer; else it closed the connection, and may hold it a little later.
-        """
-        self._repeats.schedule(now_us, request, now_us, now_us if answered else now_us + AFTER_SILENCE_US, quick=True)
-
     def _repeat_release(self, now_us: int, request: int, call: UnreadCall) -> None:
         """The server of a call answers: repeat the release as long as the call may still take effect."""
         first_us = now_us if call.after_silence else now_us + AFTER_ANSWER_US
