Take a call for a place that was not sent for no sign of its read

With a print of each read's evidence: a read that lay unread at a stopped reader counted as accepted by a running one, after a call for its place whose connection had failed.

Change: a call that was not sent is reported as that (place_not_sent). It proves nothing about the read and holds no place; as before, the policy may ask another writer unless the connection failed. A call whose connection failed is no longer tracked as one that may lie unread: nothing of it was written, and its release was repeated for 15 s.

--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -10,10 +10,12 @@
     READER,
     RULES,
     WRITER,
+    WRITER2,
     commands_of,
     kinds,
     mark_place_requested,
     mark_written,
+    server,
     start_reading,
     started_core,
 )
@@ -230,6 +232,19 @@
     assert len(commands_of(c.Abort, commands)) == len(commands_of(c.SendRequestRelease, commands)) == 1
 
 
+@pytest.mark.parametrize("ask_elsewhere", [True, False])
+def test_a_call_that_was_not_sent_does_not_show_that_its_read_runs(ask_elsewhere: bool) -> None:
+    """Soak seed 2004: a failed connection counted as a declined place, and a read that lay unread was awaited."""
+    core = started_core()
+    start_reading(core)
+    mark_written(core, 0)
+    commands = core.place_not_sent(0, 1, 1, server(WRITER, i.Role.WRITE), ask_elsewhere)
+    assert bool(commands_of(c.NotifyPlanner, commands)) is ask_elsewhere
+    core.apply_action(0, 1, i.Ahead(1, WRITER2))
+    mark_place_requested(core, 2, WRITER2)
+    assert commands_of(c.Abort, core.tick(round(RELEASE_FRACTION * RULES.release_us) + 1))
+
+
 def confirm_releases(core: EdgeCore, now_us: int, commands: list[c.Command]) -> None:
     for command in commands_of(c.SendRequestRelease, commands):
         core.request_release_settled(now_us, command.release, command.server.number, True)
@@ -244,8 +259,8 @@
     mark_place_requested(core)
     commands = core.client_disconnected(1_000, 1)
     assert commands_of(c.AwaitLateAnswer, commands) and core.tracks_release(1)
-    for server in (READER, WRITER):
-        core.server_answered(2_000, server, 2_000)
+    for number in (READER, WRITER):
+        core.server_answered(2_000, number, 2_000)
     for now_us in (3_000, 3_000 + REPEAT_DELAY_US, SECOND_US):
         confirm_releases(core, now_us, commands)
         commands = core.tick(now_us)
--- a/yardspindle/core/request/edge_core.py
+++ b/yardspindle/core/request/edge_core.py
@@ -114,6 +114,13 @@
         self.rule_checker.place_answered(now_us, request, number, server.name, held)
         return self._out(now_us, self.lifecycle.place_answered(now_us, request, number, server, held))
 
+    def place_not_sent(
+        self, now_us: int, request: int, number: int, server: Server, ask_elsewhere: bool
+    ) -> list[c.Command]:
+        """A call for a place was not sent; `ask_elsewhere`: the policy may ask another writer."""
+        self.rule_checker.place_answered(now_us, request, number, server.name, None)
+        return self._out(now_us, self.lifecycle.place_not_sent(request, number, ask_elsewhere))
+
     def place_overdue(self, now_us: int, request: int, number: int, server: Server) -> list[c.Command]:
         """A writer did not answer a call for a place in time; its connection is open."""
         self.rule_checker.place_answered(now_us, request, number, server.name, None)
--- a/yardspindle/core/request/held_resources.py
+++ b/yardspindle/core/request/held_resources.py
@@ -95,6 +95,19 @@
             self._commands.append(c.TrackUnreadCall(request, server, silent))
         return self._settle_place(now_us, request, number, server, held)
 
+    def place_not_sent(self, request: int, number: int, ask_elsewhere: bool) -> list[c.Command]:
+        """A call for a place was not sent, which shows nothing about its read: no writer has declined the place.
+
+        `ask_elsewhere`: the policy may ask another writer, as nothing suggests that this one is unreachable.
+        """
+        record = self.requests.get(request)
+        if record is None or record.place is None or record.place.number != number:
+            return self._take_commands()
+        record.place = None
+        if ask_elsewhere and record.attempt is not None and record.attempt.server.role is i.Role.READ:
+            self._notify(record, i.Note(request, record.attempt.number, record.attempt.server.number, False))
+        return self._take_commands()
+
     def place_overdue(self, now_us: int, request: int, number: int, server: Server) -> list[c.Command]:
         """A writer did not answer a call for a place in time; its connection is open."""
         self._commands.append(c.AwaitLateAnswer(request, number, server))
--- a/yardspindle/node/place_tasks.py
+++ b/yardspindle/node/place_tasks.py
@@ -100,23 +100,27 @@
         try:
             held = self._ask(call)
         except CallCancelled:
-            pass
+            held = False
         except Cancelled:
             if not call.cancelled:
                 raise  # the process ends
+            held = None if call.requested else False
         finally:
             cancel_timer()
             del self._calls[call.command.request, call.command.place]
-        if not call.requested:
-            held = False
         if call.given_up:
             self._report_late(call, held)
-        else:
+        elif call.requested:
             self._report(call, held)
+        else:
+            self._report_not_sent(call, held)
         self._forget(call.command.request)
 
     def _ask(self, call: PlaceCall) -> bool | None:
-        """Make the call once its read attempt is written; returns whether the place is held, None if unknown."""
+        """Make the call once its read attempt is written; returns whether the place is held, None if unknown.
+
+        If nothing was sent, False means that the writer may be reachable all the same.
+        """
         command, running = call.command, call.running
         read_written = running.read_written.get(command.read_attempt) if running is not None else None
         running = None  # a late answer is awaited without keeping the request's body
@@ -154,6 +158,15 @@
             call, self._core.place_answered(self._world.now_us(), command.request, command.place, command.server, held)
         )
 
+    def _report_not_sent(self, call: PlaceCall, held: bool | None) -> None:
+        """Report that nothing was sent; `held` is None if no connection could be made."""
+        command = call.command
+        self._perform(
+            self._core.place_not_sent(
+                self._world.now_us(), command.request, command.place, command.server, ask_elsewhere=held is not None
+            )
+        )
+
     def _report_late(self, call: PlaceCall, held: bool | None) -> None:
         """Report the end of a call that was given up: the writer has read it, or closed its connection."""
         command, now_us = call.command, self._world.now_us()
