--- a/tests/test_node_handover_held.py
+++ b/tests/test_node_handover_held.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.edge_core_setup import READER, WRITER, WRITER2, commands_of, kinds, mark_written, start_reading, started_core
 from tests.platform_standin import (
     Answer,
     Host,
@@ -15,7 +16,6 @@
     request,
 )
 from tests.test_node import readers, run_node
-from tests.test_node_cores import READER, WRITER, WRITER2, commands_of, kinds, mark_written, start_reading, started_core
 from tests.test_node_handover import FULL_BODY, assert_idle, set_fixed_latency
 from tests.test_node_sending import slow
 from yardspindle import interface as i
--- a/tests/test_node_held.py
+++ b/tests/test_node_held.py
@@ -4,9 +4,7 @@
 
 import pytest
 
-from tests.platform_standin import MAX_REPEATS_US, SETTINGS, Host, Platform, read, request
-from tests.test_node import readers, run_node, writers
-from tests.test_node_cores import (
+from tests.edge_core_setup import (
     READER,
     RULES,
     WRITER,
@@ -19,6 +17,8 @@
     start_reading,
     started_core,
 )
+from tests.platform_standin import MAX_REPEATS_US, SETTINGS, Host, Platform, read, request
+from tests.test_node import readers, run_node, writers
 from yardspindle import interface as i
 from yardspindle.core.request import commands as c
 from yardspindle.core.request.edge_core import EdgeCore
--- a/tests/test_node_sending.py
+++ b/tests/test_node_sending.py
@@ -6,9 +6,7 @@
 
 import pytest
 
-from tests.platform_standin import SETTINGS, Answer, Host, Platform, read, write
-from tests.test_node import readers, run_node, writers
-from tests.test_node_cores import (
+from tests.edge_core_setup import (
     READER,
     WRITER,
     WRITER2,
@@ -19,6 +17,8 @@
     start_reading,
     started_core,
 )
+from tests.platform_standin import SETTINGS, Answer, Host, Platform, read, write
+from tests.test_node import readers, run_node, writers
 from yardspindle import interface as i
 from yardspindle.core.request import commands as c
 from yardspindle.core.request.edge_core import EdgeCore
--- a/tests/test_node_streams_end.py
+++ b/tests/test_node_streams_end.py
@@ -8,9 +8,9 @@
 
 import pytest
 
+from tests.edge_core_setup import READER, RULES, WRITER, commands_of, kinds, mark_written, start_reading, started_core
 from tests.platform_standin import EVENTS, HEAD, Answer, Host, Platform
 from tests.test_node import ID, first_only, readers, run_node, writers
-from tests.test_node_cores import READER, RULES, WRITER, commands_of, kinds, mark_written, start_reading, started_core
 from tests.test_node_handover import set_fixed_latency
 from yardspindle import interface as i
 from yardspindle.core.request import commands as c
