Go on sampling withheld time when a process ends as it is sampled

Cause: only the reading of a thread's files allowed for an ended process, not the listing of its threads (WithheldTime._run).

Change: both do.

Test: test_sampling_goes_on_when_a_process_ends_as_it_is_sampled fails without the change.

--- a/tests/soak_withheld.py
+++ b/tests/soak_withheld.py
@@ -41,9 +41,13 @@
             more_s = {cpu: s - self._stolen_s[cpu] for cpu, s in stolen_s.items() if s > self._stolen_s.get(cpu, s)}
             begin, self._sampled_at, self._stolen_s = self._sampled_at, monotonic(), stolen_s
             for pid, process in list(self.pids.items()):
-                for task in Path(f"/proc/{pid}/task").glob("*"):
-                    with contextlib.suppress(OSError):  # the thread has ended
-                        self._sample(process, task, begin, more_s)
+                with contextlib.suppress(OSError):  # the process has ended
+                    self._sample_process(pid, process, begin, more_s)
+
+    def _sample_process(self, pid: int, process: str, begin: float, stolen_s: dict[str, float]) -> None:
+        for task in Path(f"/proc/{pid}/task").glob("*"):
+            with contextlib.suppress(OSError):  # the thread has ended
+                self._sample(process, task, begin, stolen_s)
 
     def _sample(self, process: str, task: Path, begin: float, stolen_s: dict[str, float]) -> None:
         thread, total, end = int(task.name), int((task / "schedstat").read_text().split()[1]) / 1e9, monotonic()
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -8,7 +8,8 @@
 import struct
 import subprocess
 import sys
-from collections.abc import Callable, Sequence
+import threading
+from collections.abc import Callable, Iterator, Sequence
 from pathlib import Path
 from time import monotonic, sleep
 from typing import Any, cast
@@ -245,3 +246,20 @@
     assert sum(both) > 0.7, "they cannot have run at the same time"
     assert withheld.seconds(("asleep", since, since + 1.0)) < 0.3, "stolen time at most"
     assert withheld.seconds(*((name, begin, since + 1.0) for name in programs)) <= since + 1.0 - begin
+
+
+def test_sampling_goes_on_when_a_process_ends_as_it_is_sampled(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The sampling thread ended with it, and nothing was taken off from then on."""
+    looked, glob, ended = threading.Semaphore(0), Path.glob, 1 << 30
+
+    def glob_of_an_ended_process(path: Path, pattern: str) -> Iterator[Path]:
+        if path == Path(f"/proc/{ended}/task"):
+            looked.release()
+            raise FileNotFoundError(path)
+        return glob(path, pattern)
+
+    monkeypatch.setattr(Path, "glob", glob_of_an_ended_process)
+    withheld = WithheldTime()
+    withheld.pids[ended] = "n0"
+    assert looked.acquire(timeout=10.0) and looked.acquire(timeout=10.0)
+    withheld.close()
