Wait in the fleet's scenarios until the owner of a duty knows that it owns it

The scenario "an owner cut off from the store alone stops by itself" did not see the owner end its duty.

Trace: the scenario's logs.

Cause: start_balanced_fleet took the store's row for the owner's knowledge of it.

Change: it waits for the owner's own "duty taken" with that fence. All that the scenarios check stays as it is, and they check it of an owner that has begun.

Measured: all scenarios of test_fleet_faults pass; the race itself was not played.

--- a/tests/fleet_scenarios.py
+++ b/tests/fleet_scenarios.py
@@ -54,7 +54,10 @@
         return len(names) == DUTY_COUNT and max(held) - min(held) < 2
 
     p.until("duties are spread", duties_are_spread, 30 * S)
-    return p.until("an owner", lambda: p.owner("sweep/0"))
+    name, fence = p.until("an owner", lambda: p.owner("sweep/0"))
+    # The store knows it first: an owner that is cut off before it has the store's answer never begins its duty.
+    p.until("the owner knows its duty", lambda: p.logged(name, "duty taken", duty="sweep/0", fence=fence))
+    return name, fence
 
 
 def hold_a_state(p: Processes) -> str:
