--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -27,7 +27,9 @@
 from yardspindle.core.request.request_releases import REPEAT_DELAY_US
 from yardspindle.core.request.timeouts import RESERVE_PLACE_US
 from yardspindle.core.request.unread_calls import MAX_PROBE_WAIT_US
+from yardspindle.engine.connection import Connection
 from yardspindle.node.app import Node
+from yardspindle.protocol import http1
 from yardspindle.runtime.virtual_network import NetworkPath
 from yardspindle.runtime.world import Stream
 
@@ -145,6 +147,28 @@
     run_node(main)
 
 
+def test_a_place_is_released_though_the_answer_on_its_late_connection_is_lost() -> None:
+    """The host reads the call 3 s after it answers elsewhere, holds the place and never answers on that connection."""
+
+    def main(platform: Platform, node: Node) -> None:
+        scene = Scene(platform, node)
+        scene.hang()
+
+        def record(what: str, host: Host, number: bytes) -> None:
+            scene.record(what, host, number)
+            if what == "place" and host is scene.writer:
+                host.sleep(60 * SECOND_US)
+
+        platform.record_call = record  # type: ignore[method-assign]
+        platform.sleep(3 * SECOND_US)
+        woken_us = platform.sim.now_us()
+        scene.wake_connections()
+        platform.sleep(2 * SECOND_US)
+        scene.assert_released(scene.late_places(woken_us), HELD_LIMIT_US)
+
+    run_node(main)
+
+
 def test_connections_that_wait_for_late_answers_are_given_back_when_descriptors_run_out() -> None:
     """What is owed for their calls stays owed: the release is repeated until the host has closed them as idle."""
 
@@ -304,6 +328,17 @@
     run_node(main)
 
 
+def test_a_connection_on_which_the_sending_ended_is_not_pooled() -> None:
+    def main(platform: Platform, node: Node) -> None:
+        for sending_ended in (False, True):
+            connection = Connection(platform.connect(), http1.ResponseParser(), sending_ended=sending_ended)
+            node.http.put_idle(("host", 1), connection)
+            assert connection.stream.is_idle() is not sending_ended  # else it is closed
+        assert len(node.http._idle["host", 1]) == 1
+
+    run_node(main)
+
+
 def test_the_late_answers_awaited_are_bounded_and_the_oldest_is_given_up() -> None:
     answers = LateAnswers()
     calls = [LateCall(request, 1, 7) for request in range(MAX_AWAITED + 3)]
