Go on hearing a late call to discovery while the next one is made beside it

Cause: DiscoveryClient._fetch took one limit, AGENT_RESPONSE_US (0.2 s, connecting included), for two questions: when to ask again, and how long to wait for the answer. At the limit it closed the connection and asked anew with the same 0.2 s, so an agent that needs longer is cut off each time.

Evidence: the agent's record has calls 0.22 s apart that "have no one to answer", and none that is answered. Ruled out: lists that were taken and not passed on (no answer was read at all), and answers that were rejected (the log has DeadlineExceeded alone).

A call that is late is followed by another one on another connection, as soon as before (an agent that was down is heard 0.22 s after its return), and its own answer is waited for until 6 s are over. Late calls that begin within 0.9 s of each other tell nearly the same, so all but one of them are cut off: at most nine are open. A call after a late one requests changes in place of the full list, which is 0.5 MB with 3,200 hosts; a failed call, a rejected answer and a start still request the full list. Applying an answer cuts off older calls, and an answer that is older than a list applied since its call began is passed over: nothing is taken back. A watch of an agent that is slow waits 0.65 s, as the agent answers it at once with what is known to it alone, and the next call must not be later than 0.9 s. When descriptors run out, late calls but the oldest are ended.

Why it works: a change is in the answer to a call that begins at most 0.9 s after it, and that answer has 5.1 s of the 6 s.

--- a/yardspindle/core/request/timeouts.py
+++ b/yardspindle/core/request/timeouts.py
@@ -51,35 +51,43 @@
 # Discovery. A watch is a call that the agent answers at the next change of the list, or after WATCH_WAIT_US. The
 # platform expects the router to follow a change from a fixed time on: if a watch became unresponsive and missed it,
 # LIST_UPDATE_LIMIT_US after the change, or 2 s after the end of the watch's wait if that is later; in any other
-# failure, LIST_UPDATE_LIMIT_US after the moment from which the agent had the change and could be reached. The least
-# time is left if the agent stops responding just after a call and corrupts the first call after that in the slowest
-# way, by an answer that never ends:
-#     WATCH_WAIT_US + AGENT_RESPONSE_US     until the unresponsive watch ends,
-#     AGENT_RESPONSE_US + LIST_BODY_US      for the call with the endless answer,
-#     AGENT_RETRY_PAUSE_US
-#     AGENT_RESPONSE_US + LIST_BODY_US      for a call with a valid answer that arrives byte by byte: 5.62 s in all.
-# For an agent that was down, a change counts from its return: the last call that it left unanswered ends at most
+# failure, LIST_UPDATE_LIMIT_US after the moment from which the agent had the change and could be reached.
+#
+# A call that is late is followed by another one, and its own answer is waited for until ANSWER_LIMIT_US: an agent may
+# be slow. The calls that are waited for begin at most CALL_SPACING_US apart, so a change is told by a call that begins
+# so long after it, and an answer may take the rest: LIST_UPDATE_LIMIT_US - CALL_SPACING_US, 5.1 s. A call is late
+# AGENT_RESPONSE_US after its begin at most, a watch of a slow agent SLOW_WATCH_WAIT_US + AGENT_RESPONSE_US, and the
+# next call begins AGENT_RETRY_PAUSE_US later.
+#
+# For an agent that was down, a change counts from its return: the last call that it left unanswered is late at most
 # AGENT_RESPONSE_US later, and the next is made AGENT_RETRY_PAUSE_US after that, 0.22 s in all. The shortest known grace
 # period of a drain (in which requests may still be sent to the host) is 0.25 s, so the agent has 0.03 s to answer that
 # call. These short times cost little: calls are cheap for an agent, and it answers at once.
 LIST_UPDATE_LIMIT_US = 6_000_000
 WATCH_WAIT_US = 1_000_000
-AGENT_RESPONSE_US = 200_000  # for a call to bring something after its wait, connecting included
+SLOW_WATCH_WAIT_US = 650_000  # of an agent whose last answer was late: the next call begins within CALL_SPACING_US
+POLL_WAIT_US = 1_000  # of a call for changes that is to be answered at once
+AGENT_RESPONSE_US = 200_000  # from a call's begin, or the end of its wait, to the head of its answer, or it is late
 LIST_CHUNK_US = 500_000  # from one piece of an answer's body to the next
 LIST_BODY_US = 2_000_000  # from an answer's head to its end, as long as pieces arrive
+ANSWER_LIMIT_US = LIST_UPDATE_LIMIT_US  # from a call's begin, or the end of its wait, to the end of the answer
+CALL_SPACING_US = 900_000  # between the begins of calls whose answers are waited for
+MAX_LATE_CALLS = 9  # whose answers are waited for at the same time
 LIST_SLICE_US = 5_000  # an answer that arrives fast is read for so long before other tasks run
 AGENT_RETRY_PAUSE_US = 20_000  # before the second and later retries of a call; the first retry is immediate
 # Answers that are readable but doubtful. A complete list without hosts takes effect once it was reported for
 # EMPTY_LIST_US. If it comes after the agent was unresponsive, that takes WATCH_WAIT_US + AGENT_RESPONSE_US until the
-# watch ends, AGENT_RESPONSE_US + LIST_CHUNK_US for the first empty list, EMPTY_LIST_US + LIST_RECHECK_PAUSE_US, and
+# watch is late, AGENT_RESPONSE_US + LIST_CHUNK_US for the first empty list, EMPTY_LIST_US + LIST_RECHECK_PAUSE_US, and
 # AGENT_RESPONSE_US + LIST_CHUNK_US for the last: 5.7 s of the 6 s of LIST_UPDATE_LIMIT_US. A new agent address, read
 # from the configuration on SIGHUP, must be in use AGENT_MOVE_LIMIT_US later. An agent there whose list has a lower
 # revision than the list in force may only lag, so its list is not accepted until AGENT_MOVE_WAIT_US after the SIGHUP;
-# one more call, however slow, then still fits into the limit. The drains in such a list take effect at once.
+# one more call then still fits into the limit if its answer takes MOVED_ANSWER_US. The drains in such a list take
+# effect at once.
 LIST_RECHECK_PAUSE_US = 100_000  # before the complete list is requested again; the first time it is requested at once
 EMPTY_LIST_US = 3_000_000
 AGENT_MOVE_LIMIT_US = 4_000_000
-AGENT_MOVE_WAIT_US = AGENT_MOVE_LIMIT_US - LIST_RECHECK_PAUSE_US - AGENT_RESPONSE_US - LIST_BODY_US
+MOVED_ANSWER_US = 2_200_000
+AGENT_MOVE_WAIT_US = AGENT_MOVE_LIMIT_US - LIST_RECHECK_PAUSE_US - MOVED_ANSWER_US
 
 # The first list. A process has to follow the agent's list from its first moment, so it reports ready ("up") only when
 # it has that list. But the platform requires nine in ten restarted processes to be ready within READY_LIMIT_US (in its
--- a/yardspindle/node/app.py
+++ b/yardspindle/node/app.py
@@ -146,7 +146,7 @@
 
     def _free_descriptor(self, essential: bool) -> bool:
         """Close a connection to a host that can be spared; for an essential operation, else one to an idle client."""
-        if self.http.close_oldest():
+        if self.http.close_oldest() or self.discovery.close_spare_call():
             return True
         if commands := self.core.close_oldest_late_answer(self.world.now_us()):
             self.executor.perform(commands)
