Take a list that discovery writes in pieces over seconds, and ask again beside it

Cause: DiscoveryClient._read_body had LIST_BODY_US (2 s) and LIST_CHUNK_US (0.5 s between pieces) as the limit of the answer and as the time after which the list is asked for anew.

Change: an answer that is not complete 0.5 s after its head makes the call late, and the next call begins beside it; it is cut off when its 6 s are over. The limit between pieces is gone: 0.5 s from the head covers it.

--- a/yardspindle/core/hosts/discovery_schedule.py
+++ b/yardspindle/core/hosts/discovery_schedule.py
@@ -65,7 +65,8 @@
         head_limit_us = self.began_us + self.wait_us + timeouts.AGENT_RESPONSE_US
         if self.head_us is None:
             return head_limit_us
-        return self.limit_us
+        body_limit_us = self.head_us + timeouts.LIST_BODY_US
+        return min(head_limit_us, body_limit_us) if self.query is Query.WATCH and self.agent_is_slow else body_limit_us
 
     @property
     def limit_us(self) -> int:
--- a/yardspindle/core/request/timeouts.py
+++ b/yardspindle/core/request/timeouts.py
@@ -56,8 +56,8 @@
 # A call that is late is followed by another one, and its own answer is waited for until ANSWER_LIMIT_US: an agent may
 # be slow. The calls that are waited for begin at most CALL_SPACING_US apart, so a change is told by a call that begins
 # so long after it, and an answer may take the rest: LIST_UPDATE_LIMIT_US - CALL_SPACING_US, 5.1 s. A call is late
-# AGENT_RESPONSE_US after its begin at most, a watch of a slow agent SLOW_WATCH_WAIT_US + AGENT_RESPONSE_US, and the
-# next call begins AGENT_RETRY_PAUSE_US later.
+# AGENT_RESPONSE_US + LIST_BODY_US after its begin at most, a watch of a slow agent SLOW_WATCH_WAIT_US +
+# AGENT_RESPONSE_US, and the next call begins AGENT_RETRY_PAUSE_US later: 0.72 s and 0.87 s of the spacing.
 #
 # For an agent that was down, a change counts from its return: the last call that it left unanswered is late at most
 # AGENT_RESPONSE_US later, and the next is made AGENT_RETRY_PAUSE_US after that, 0.22 s in all. The shortest known grace
@@ -68,17 +68,16 @@
 SLOW_WATCH_WAIT_US = 650_000  # of an agent whose last answer was late: the next call begins within CALL_SPACING_US
 POLL_WAIT_US = 1_000  # of a call for changes that is to be answered at once
 AGENT_RESPONSE_US = 200_000  # from a call's begin, or the end of its wait, to the head of its answer, or it is late
-LIST_CHUNK_US = 500_000  # from one piece of an answer's body to the next
-LIST_BODY_US = 2_000_000  # from an answer's head to its end, as long as pieces arrive
+LIST_BODY_US = 500_000  # from that head to the end of the answer, or the call is late
 ANSWER_LIMIT_US = LIST_UPDATE_LIMIT_US  # from a call's begin, or the end of its wait, to the end of the answer
 CALL_SPACING_US = 900_000  # between the begins of calls whose answers are waited for
-MAX_LATE_CALLS = 9  # whose answers are waited for at the same time
+MAX_LATE_CALLS = 9  # whose answers are waited for at the same time: ANSWER_LIMIT_US in steps of 0.72 s
 LIST_SLICE_US = 5_000  # an answer that arrives fast is read for so long before other tasks run
 AGENT_RETRY_PAUSE_US = 20_000  # before the second and later retries of a call; the first retry is immediate
 # Answers that are readable but doubtful. A complete list without hosts takes effect once it was reported for
 # EMPTY_LIST_US. If it comes after the agent was unresponsive, that takes WATCH_WAIT_US + AGENT_RESPONSE_US until the
-# watch is late, AGENT_RESPONSE_US + LIST_CHUNK_US for the first empty list, EMPTY_LIST_US + LIST_RECHECK_PAUSE_US, and
-# AGENT_RESPONSE_US + LIST_CHUNK_US for the last: 5.7 s of the 6 s of LIST_UPDATE_LIMIT_US. A new agent address, read
+# watch is late, AGENT_RESPONSE_US + LIST_BODY_US for the first empty list, EMPTY_LIST_US + LIST_RECHECK_PAUSE_US, and
+# AGENT_RESPONSE_US + LIST_BODY_US for the last: 5.7 s of the 6 s of LIST_UPDATE_LIMIT_US. A new agent address, read
 # from the configuration on SIGHUP, must be in use AGENT_MOVE_LIMIT_US later. An agent there whose list has a lower
 # revision than the list in force may only lag, so its list is not accepted until AGENT_MOVE_WAIT_US after the SIGHUP;
 # one more call then still fits into the limit if its answer takes MOVED_ANSWER_US. The drains in such a list take
--- a/yardspindle/node/discovery.py
+++ b/yardspindle/node/discovery.py
@@ -152,7 +152,7 @@
     def _make(self, call: DiscoveryCall, pending: PendingResponse) -> None:
         try:
             answer = self._fetch(call, pending)
-        except (ConnectError, ExchangeBroken, DeadlineExceeded, ValueError) as error:
+        except (ConnectError, ExchangeBroken, ValueError) as error:
             if self._open.pop(call, None) is not None:
                 self._failed(call, error)
             return
@@ -208,28 +208,22 @@
         return answer
 
     def _read_body(self, response: Response) -> bytes:
-        """Read the whole body. Raises ValueError if it does not end in time or all bodies together are too long.
+        """Read the whole body. Raises ValueError if all answers that are being read together are too long.
 
         Other tasks run after each LIST_SLICE_US: a large list that arrives fast, in small pieces, would block them.
         """
         body = bytearray()
-        now = self._world.now_us()
-        end_us, slice_us = now + timeouts.LIST_BODY_US, now + timeouts.LIST_SLICE_US
+        slice_us = self._world.now_us() + timeouts.LIST_SLICE_US
         try:
-            while True:
-                with self._world.deadline(min(now + timeouts.LIST_CHUNK_US, end_us)):
-                    chunk = response.read()
-                if chunk is None:
-                    return bytes(body)
+            while (chunk := response.read()) is not None:
                 body += chunk
                 self._unfinished_bytes += len(chunk)
                 if self._unfinished_bytes > MAX_UNFINISHED_BYTES:
                     raise ValueError("unfinished answers are too long")
                 now = self._world.now_us()
-                if now >= end_us:
-                    raise ValueError("response body did not end in time")
                 if now >= slice_us:
                     self._world.sleep_until(now)
                     slice_us = self._world.now_us() + timeouts.LIST_SLICE_US
+            return bytes(body)
         finally:
             self._unfinished_bytes -= len(body)
