Hear lists that come in pieces over 5 s to their end; take one full list at a start

With a call every 0.52 s there are more than nine late ones, and the oldest was cut off before its end (MAX_LATE_CALLS in core/request/timeouts.py). Now twelve are kept; - after a start at an agent that answers 1 to 2.4 s late, the full lists requested meanwhile came, too: half a megabyte each with 3,200 hosts. A watch that follows an answer of at most 2.5 s tells in time what they would tell, so they are cut off (DiscoverySchedule.applied).

Tests: an agent that writes for five seconds; a start at a slow agent takes one full list. The first fails with nine late calls, two of three cases of the second without the other change.

--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -33,6 +33,7 @@
     """Drain one host after another at a slow agent; how long each drain took to be in force."""
     agent.phases = {f"h{number}": "Ready" for number in range(DRAINS + 1)}
     agent.revision += 1
+    agent.changed_at = dict.fromkeys(agent.phases, agent.revision)
     follower.wait_until(lambda: len(follower.hosts) == DRAINS + 1, CHANGE_LIMIT_US)
     agent.slow = slow
     began_us = follower.world.now_us()
@@ -65,16 +66,29 @@
 
 
 @pytest.mark.parametrize("late_us", [0, 300_000])
-@pytest.mark.parametrize("span_us", [2_400_000, 4_000_000, 4_700_000])
-def test_a_drain_is_learned_in_time_from_an_agent_whose_answers_come_in_pieces(span_us: int, late_us: int) -> None:
+@pytest.mark.parametrize("tells_changes", [False, True])
+@pytest.mark.parametrize("span_us", [300_000, 1_000_000, 2_400_000, 4_000_000, 4_700_000])
+def test_a_drain_is_learned_in_time_from_an_agent_whose_answers_come_in_pieces(
+    span_us: int, tells_changes: bool, late_us: int
+) -> None:
     """Each answer was cut off 2 s after its first piece, for good (review/8)."""
 
     def main(follower: Follower, agent: Agent) -> None:
+        agent.tells_changes = tells_changes
         assert max(times_to_learn(follower, agent, a.in_pieces(span_us, late_us))) < CHANGE_LIMIT_US
 
     run_with_watch(main)
 
 
+def test_a_drain_is_learned_in_time_from_an_agent_that_writes_a_list_for_five_seconds() -> None:
+    """With nine late calls at most, the oldest ones were cut off before they ended."""
+
+    def main(follower: Follower, agent: Agent) -> None:
+        assert max(times_to_learn(follower, agent, a.in_pieces(5_000_000))) < CHANGE_LIMIT_US
+
+    run_with_watch(main)
+
+
 @pytest.mark.parametrize("slow", [a.late(3_000_000), a.in_pieces(3_000_000), a.in_pieces(1_000_000, 2_000_000)])
 def test_a_slow_agent_that_becomes_sound_is_followed_at_once(slow: Fault) -> None:
     """Calls must go on to be made while the answers of late ones are waited for."""
@@ -138,6 +152,24 @@
     run_with_watch(main)
 
 
+@pytest.mark.parametrize("delay_us", [300_000, 1_000_000, 2_400_000])
+def test_a_start_at_a_slow_agent_takes_one_full_list(delay_us: int) -> None:
+    """All full lists that were requested meanwhile came, too; with 3,200 hosts each is half a megabyte."""
+
+    def main(follower: Follower, agent: Agent) -> None:
+        second = Agent(follower.sim, SECOND, revision=9, hosts=200)
+        second.slow, second.tells_changes = a.late(delay_us), True
+        follower.discovery.change_address(address(SECOND))
+        follower.wait_until(lambda: follower.hosts.revision == 9, MOVE_LIMIT_US)
+        follower.world.sleep_until(follower.world.now_us() + 50_000)
+        second.drain()  # while full lists that were requested before would be on their way
+        follower.wait_until(lambda: "h0" not in follower.applied_lists[-1][1], CHANGE_LIMIT_US)
+        follower.world.sleep_until(follower.world.now_us() + CHANGE_LIMIT_US)
+        assert sum(stream.sent_bytes for stream in second.streams) < 1.5 * len(second.body())
+
+    run_with_watch(main)
+
+
 @pytest.mark.parametrize("delay_us", [300_000, 1_000_000, 2_000_000, 3_000_000])
 def test_a_slow_agent_at_a_new_address_that_counts_from_below_is_in_force_in_time(delay_us: int) -> None:
     def main(follower: Follower, agent: Agent) -> None:
@@ -220,4 +252,5 @@
     late_us = t.AGENT_RESPONSE_US + t.LIST_BODY_US + t.AGENT_RETRY_PAUSE_US
     slow_watch_us = t.SLOW_WATCH_WAIT_US + t.AGENT_RESPONSE_US + t.AGENT_RETRY_PAUSE_US
     assert max(late_us, slow_watch_us) <= t.CALL_SPACING_US and t.CALL_SPACING_US + 5_000_000 < CHANGE_LIMIT_US
-    assert t.MAX_LATE_CALLS * late_us >= t.ANSWER_LIMIT_US >= CHANGE_LIMIT_US
+    shortest_step_us = t.LIST_BODY_US + t.AGENT_RETRY_PAUSE_US
+    assert t.MAX_LATE_CALLS * shortest_step_us >= t.ANSWER_LIMIT_US >= CHANGE_LIMIT_US
--- a/yardspindle/core/hosts/discovery_schedule.py
+++ b/yardspindle/core/hosts/discovery_schedule.py
@@ -145,8 +145,14 @@
         step.log = was_late and not self._slow
         self._slow, self._faults, self._full_list_needed = was_late, 0, False
         self._end(call)
-        self._cut_off(step, [late for late in self._late if went_back or late.number < call.number])
-        if self._current is not None and went_back:
+        # A watch that follows a short answer tells in time what the full lists requested after it would tell.
+        is_short = call.query is Query.FULL_LIST and now_us - call.began_us <= timeouts.SHORT_ANSWER_US
+
+        def is_obsolete(other: DiscoveryCall) -> bool:
+            return went_back or other.number < call.number or (is_short and other.query is Query.FULL_LIST)
+
+        self._cut_off(step, [late for late in self._late if is_obsolete(late)])
+        if self._current is not None and is_obsolete(self._current):
             step.cut_off.append(self._current)
             self._current = None
         if self._current is None or self._current.query is not Query.WATCH:
--- a/yardspindle/core/request/timeouts.py
+++ b/yardspindle/core/request/timeouts.py
@@ -71,7 +71,8 @@
 LIST_BODY_US = 500_000  # from that head to the end of the answer, or the call is late
 ANSWER_LIMIT_US = LIST_UPDATE_LIMIT_US  # from a call's begin, or the end of its wait, to the end of the answer
 CALL_SPACING_US = 900_000  # between the begins of calls whose answers are waited for
-MAX_LATE_CALLS = 9  # whose answers are waited for at the same time: ANSWER_LIMIT_US in steps of 0.72 s
+MAX_LATE_CALLS = 12  # whose answers are waited for at the same time: ANSWER_LIMIT_US in steps of 0.52 s
+SHORT_ANSWER_US = 2_500_000  # twice as long is well within LIST_UPDATE_LIMIT_US
 LIST_SLICE_US = 5_000  # an answer that arrives fast is read for so long before other tasks run
 AGENT_RETRY_PAUSE_US = 20_000  # before the second and later retries of a call; the first retry is immediate
 # Answers that are readable but doubtful. A complete list without hosts takes effect once it was reported for
