Make discovery slow in the soak, and judge its drains by the platform's six seconds

A drain counted only once an agent had sent it.

Change: tests/soak_discovery.py draws two spans in a run (6 to 12 s) in which all agents answer 0.1 to 4.8 s late, in pieces, or both, with the list as it was when the call came or as it is when it is written; a host drains soon after each begins. Its generator is its own, so a seed draws the same other faults as before. A drain counts as told when a slow answer was written to a connection that is still open, and at the latest 6 s after discovery had it and could be reached. The run reports the answers of slow agents, and the drains that count though no answer told them.

Measured: tests/test_soak_discovery.py, new, 5 passed; its planted mistake (late calls are cut off, as before the fix) is found.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -12,6 +12,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import signal
 import sys
 import tempfile
@@ -23,13 +24,20 @@
 from tests.crossing_parties import LOOPBACK_ADDRESS
 from tests.crossings import FAILURE_LOG_LINES, LATE_ANSWER_LOG_LINE
 from tests.ports import port_of, reserve_port
+from tests.soak_discovery import told_at_latest
 from tests.soak_judge import judge_run
-from tests.soak_parties import MAX_LISTING_DELAY_S, DispatcherRun, Plan, SoakCluster, SoakHost
+from tests.soak_parties import MAX_LISTING_DELAY_S, ROOT, DispatcherRun, Plan, SoakCluster, SoakHost
 from tests.soak_slow_start import COLD_S, WindowLoad, fullest_windows, overloaded_hosts
 
 # SIGKILL follows SIGTERM after the longest request deadline (at most 3 s) plus 0.7 s.
 MAX_KILL_DELAY_S, KILL_MARGIN_S = 3.0, 0.7
 SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGSTOP, signal.SIGCONT)
+FAULT_KINDS = (
+    *("freeze",) * 5,
+    *("host mute",) * 2,
+    *("host reset", "host lose", "host slow", "host decline", "host error", "host dies", "drain", "agents silent"),
+    *("dispatcher held up", "dispatcher ends", "dispatcher dies", "signals", "burst"),
+)
 FIGURES = ("fullest of them", "peak MiB")  # in the coverage, but no counts
 RELEASE_WAIT_S = 2.0  # time after the last answer for outstanding releases
 
@@ -39,6 +47,7 @@
 
     loads: list[WindowLoad]
     coverage: dict[str, float]
+    unreported_drains = 0  # drains that count as told to a dispatcher to which no answer told them
 
     # --- faults
 
@@ -63,16 +72,25 @@
         elif kind == "freeze":
             await self._freeze(self._draw_group(hosts), seconds)
         elif kind == "drain":
-            host = rng.choice(hosts)
-            if sum(h.role == host.role for h in hosts) > 2:
-                self.log_event(f"drain {host.name}")
-                host.phase, self.revision = "Terminating", self.revision + 1
+            self._drain(rng.choice(hosts))
         elif kind == "agents silent":
             self.log_event(f"agents silent {seconds:.2f} s")
             self.silent_until = max(self.silent_until, monotonic() + seconds)
+            self.slow_discovery.silences.append((monotonic(), self.silent_until))
         else:
             await self._dispatcher_fault(kind, rng.choice(list(self.current)))
 
+    def _drain(self, host: SoakHost) -> None:
+        """Let a host drain, if enough of its role stay."""
+        if sum(other.role == host.role for other in self.hosts.values() if other.phase == "Ready") > 2:
+            self.log_event(f"drain {host.name}")
+            host.phase, host.drained_at, self.revision = "Terminating", monotonic(), self.revision + 1
+
+    def _drain_at_slow_agents(self, choice: int) -> None:
+        self.injected["agents slow"] += 1
+        ready = [host for host in self.hosts.values() if host.phase == "Ready"]
+        self._drain(ready[choice % len(ready)])
+
     def _disturb_streams(self, kind: str, choice: int, seconds: float) -> None:
         """Let one writer spoil or slow down the streams that it begins."""
         writers = [host for host in self.hosts.values() if host.role == "write"]
@@ -159,7 +177,8 @@
         await self.start_host(host.name, host.role, host.port, cold=True)
         self.dead_hosts.discard(host.name)
         back, late_s = self.hosts[host.name], self.random.choice((0.0, self.random.uniform(0.0, MAX_LISTING_DELAY_S)))
-        back.phase, back.listed_before_ms, back.listed_from = host.phase, host.up_since_ms, monotonic() + late_s
+        back.phase, back.drained_at = host.phase, host.drained_at
+        back.listed_before_ms, back.listed_from = host.up_since_ms, monotonic() + late_s
         self.log_event(f"{host.name} is back, listed {late_s:.2f} s later")
         await asyncio.sleep(late_s)
         self.revision += 1
@@ -245,6 +264,7 @@
         faults = [asyncio.create_task(self._inject_at(at, kind)) for at, kind in self._draw_faults()]
         faults.append(asyncio.create_task(self.crowds.run(lambda: self.ports, self.log_event)))
         faults.append(asyncio.create_task(self.stream_faults.run(self._disturb_streams)))
+        faults.append(asyncio.create_task(self.slow_discovery.run(self._drain_at_slow_agents, self.log_event)))
         sampling = asyncio.create_task(
             self.memory.watch(lambda: [run.process.pid for run in self.current.values() if run.process.poll() is None])
         )
@@ -258,26 +278,8 @@
         return self.judge()
 
     def _draw_faults(self) -> list[tuple[float, str]]:
-        kinds = (
-            ["freeze"] * 5
-            + ["host mute"] * 2
-            + [
-                "host reset",
-                "host lose",
-                "host slow",
-                "host decline",
-                "host error",
-                "host dies",
-                "drain",
-                "agents silent",
-                "dispatcher held up",
-                "dispatcher ends",
-                "dispatcher dies",
-                "signals",
-                "burst",
-            ]
-        )
-        drawn = [self.random.choice(kinds) for _ in range(self.plan.faults)] + ["cold return"] * self.plan.cold_returns
+        drawn = [self.random.choice(FAULT_KINDS) for _ in range(self.plan.faults)]
+        drawn += ["cold return"] * self.plan.cold_returns
         return [(self.random.uniform(0.0, self.plan.seconds), kind) for kind in drawn]
 
     async def _inject_at(self, seconds: float, kind: str) -> None:
@@ -295,6 +297,8 @@
         died = [json.loads(line) for line in deaths.read_text().splitlines()] if deaths.exists() else []
         self.loads = fullest_windows(rows, self.cold_starts)
         found = overloaded_hosts(self.loads) + self.memory.over(self.crowds.memory_mb)
+        for run in self.runs:
+            self._count_unreported_drains(run)
         self._count_coverage(rows)
         for run in self.runs:
             found += [f"{run.log.name}: {text}" for text in judge_run(run, rows, died, self.frozen)]
@@ -308,6 +312,15 @@
                 found.append(f"{run.log.name}: ended with {run.process.returncode}")
         return found
 
+    def _count_unreported_drains(self, run: DispatcherRun) -> None:
+        """A drain counts as told after a time, whether or not it was reported to the dispatcher."""
+        for host in self.hosts.values():
+            if host.phase != "Ready":
+                latest = told_at_latest(max(host.drained_at, run.started), self.slow_discovery.silences)
+                if latest < run.drains_reported.get(host.name, math.inf):
+                    run.drains_reported[host.name] = latest
+                    self.unreported_drains += 1
+
     def _count_coverage(self, rows: list[dict[str, Any]]) -> None:
         """Count how often each rule applied in the run."""
         kinds = Counter(row["what"] for row in rows)
@@ -319,6 +332,8 @@
             "orders": sum(request.cls == "order" for request in requests),
             "attempts without an answer": sum(row["what"] == "over" and not row["how"] for row in rows),
             "drains told": sum(len(run.drains_reported) for run in self.runs),
+            "drains that count though unreported": self.unreported_drains,
+            "answers of slow agents": self.slow_discovery.late_answers,
             "cold hosts": len(self.loads),
             "fullest of them": round(max((load.ratio for load in self.loads), default=0.0), 2),
             "releases": kinds["freed"],
@@ -340,9 +355,9 @@
         return counts
 
 
-def play(seed: int, plan: Plan, folder: Path) -> tuple[list[str], Soak]:
+def play(seed: int, plan: Plan, folder: Path, package: Path = ROOT) -> tuple[list[str], Soak]:
     """Run one soak test; returns the rule violations and the finished run."""
-    soak = Soak(seed, plan, folder)
+    soak = Soak(seed, plan, folder, package)
     try:
         return asyncio.run(soak.run()), soak
     finally:
--- a/tests/soak_parties.py
+++ b/tests/soak_parties.py
@@ -12,6 +12,7 @@
 import sys
 from collections import Counter
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from random import Random
 from time import monotonic, time
@@ -23,6 +24,7 @@
 from tests.crossings import ALLOWED, SETTINGS
 from tests.ports import port_of, reserve_port
 from tests.soak_crowd import Crowds, PeakMemory
+from tests.soak_discovery import AgentCall, AgentConnection, Answer, SlowDiscovery, draw_spans, serve_calls
 from tests.soak_slow_start import OBLIGATIONS, ColdStart
 from tests.soak_streams import StreamFaults
 from tests.soak_withheld import SoakLedger, WithheldTime
@@ -54,6 +56,7 @@
     cold_returns: int = 2  # faults in which hosts restart cold while the other hosts of their role fail
     crowds: int = 2  # of bad clients, each at one dispatcher
     streams: int = 4  # faults in which a writer spoils its streams, or writes them slowly
+    slow_discovery: int = 2  # faults in which all agents are slow
 
 
 @dataclass
@@ -67,6 +70,7 @@
     drains_reported: dict[str, float] = field(
         default_factory=dict
     )  # draining hosts and when the dispatcher was sent their drain
+    started: float = field(default_factory=monotonic)
     killed: float | None = None  # when it was sent SIGKILL
     ended: float | None = None  # when the process had exited
 
@@ -80,6 +84,7 @@
     process: subprocess.Popen[bytes]
     port: int
     phase: str = "Ready"
+    drained_at: float = 0.0  # when discovery had its drain
     up_since_ms: int = 0
     listed_from: float = 0.0  # when the list begins to show its last start
     listed_before_ms: int = 0  # the start time that the list shows until then
@@ -113,8 +118,9 @@
 class SoakCluster:
     """All processes, connections and records of one run."""
 
-    def __init__(self, seed: int, plan: Plan, folder: Path) -> None:
-        self.plan, self.folder = plan, folder
+    def __init__(self, seed: int, plan: Plan, folder: Path, package: Path = ROOT) -> None:
+        """`package`: the folder from which dispatchers import their program."""
+        self.plan, self.folder, self.package = plan, folder, package
         self.random = Random(seed)
         self.family = {
             "holds-allowed": self.random.random() < PLACES_PROBABILITY,
@@ -144,6 +150,7 @@
         self.frozen: list[tuple[str, float, float]] = []  # host, begin and end of each stop
         self.crowds = Crowds(seed, plan.seconds, plan.crowds)
         self.stream_faults = StreamFaults(seed, plan.seconds, plan.streams)
+        self.slow_discovery = SlowDiscovery(draw_spans(Random(f"{seed} discovery"), plan.seconds, plan.slow_discovery))
         self.memory = PeakMemory()
         self.event_log: list[str] = []
         self.began = monotonic()
@@ -211,7 +218,7 @@
             "ROUTER_LISTEN": f"{LOOPBACK_ADDRESS}:{self.ports[name]}",
             "ROUTER_DISCOVERY": self.agents[name],
             "ROUTER_CONFIG": str(config),
-            "PYTHONPATH": str(ROOT),
+            "PYTHONPATH": str(self.package),
         }
         log = self.folder / f"{name}-{len(self.runs)}.log"
         with open(log, "wb") as errors:
@@ -240,32 +247,26 @@
     def server_list(self) -> dict[str, Any]:
         return {"revision": self.revision, "complete": True, "members": [h.list_entry() for h in self.hosts.values()]}
 
-    async def start_agent(self, name: str) -> None:
-        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            try:
-                while True:
-                    head = await reader.readuntil(b"\r\n\r\n")
-                    target = head.split()[1]
-                    query = dict(part.split(b"=") for part in target.partition(b"?")[2].split(b"&") if part)
-                    until = monotonic() + int(query.get(b"wait", 0)) / 1_000
-                    while monotonic() < self.silent_until or (
-                        int(query.get(b"index", -1)) >= self.revision and monotonic() < until
-                    ):
-                        await asyncio.sleep(0.005)
-                    for host in self.hosts.values():
-                        if host.phase != "Ready":
-                            self.current[name].drains_reported.setdefault(host.name, monotonic())
-                    writer.write(plain(200, json.dumps(self.server_list()).encode()))
-                    await writer.drain()
-            except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-                pass  # the dispatcher disconnected, or the run is over
-            finally:
-                writer.close()
+    def discovery_answer(self) -> Answer:
+        draining = tuple(host.name for host in self.hosts.values() if host.phase != "Ready")
+        return Answer(plain(200, json.dumps(self.server_list()).encode()), draining)
 
-        server = await asyncio.start_server(serve, LOOPBACK_ADDRESS, 0)
+    async def start_agent(self, name: str) -> None:
+        server = await asyncio.start_server(partial(serve_calls, partial(self._answer_call, name)), LOOPBACK_ADDRESS, 0)
         self.servers.append(server)
         self.agents[name] = f"{LOOPBACK_ADDRESS}:{server.sockets[0].getsockname()[1]}"
 
+    async def _answer_call(self, name: str, connection: AgentConnection, call: AgentCall) -> None:
+        while monotonic() < self.silent_until or (call.index >= self.revision and monotonic() < call.until):
+            await asyncio.sleep(0.005)
+        run, is_slow, answer = self.current[name], self.slow_discovery.is_slow, self.discovery_answer()
+        if is_slow:
+            answer = await self.slow_discovery.send(self.discovery_answer, connection)
+        for host in answer.draining:
+            run.drains_reported.setdefault(host, monotonic())
+        if not is_slow:
+            await connection.write(answer.data)
+
     # --- clients
 
     async def run_client(self, name: str, number: int) -> None:
