Test that endless answers of discovery take little memory; move is_outdated to the call

Need: the bound on the bytes of unfinished answers had no test, and whether an answer is outdated depends on its call alone.

DiscoverySchedule.is_outdated became DiscoveryCall.is_outdated, which does the same.

--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -8,6 +8,8 @@
 from tests.agent_standin import Agent, Fault
 from tests.test_node_discovery import CHANGE_LIMIT_US, MOVE_LIMIT_US, SECOND, Follower, address, run_with_watch
 from yardspindle.core.request import timeouts
+from yardspindle.node.discovery import MAX_UNFINISHED_BYTES, RESPONSE_LIMITS
+from yardspindle.protocol import http1
 from yardspindle.runtime.world import Stream
 
 MIN_GRACE_US = 250_000  # the shortest drain grace of the known deployments
@@ -138,6 +140,30 @@
     run_with_watch(main)
 
 
+def test_long_answers_that_never_end_take_little_memory() -> None:
+    """Each may be as long as the longest list; all that are being read may take twice as much together."""
+
+    def endless(agent: Agent, stream: Stream, answer: bytes) -> None:
+        stream.write(a.ENDLESS)
+        while True:
+            stream.write(http1.write_chunk(b" " * 50_000))
+            agent.sleep(50_000)
+
+    def main(follower: Follower, agent: Agent) -> None:
+        agent.slow = endless
+        most = 0
+        for _ in range(100):
+            follower.world.sleep_until(follower.world.now_us() + 150_000)
+            network = follower.sim.network
+            most = max(most, sum(s.sent_bytes for s in network.streams if s.world is agent.world))
+        assert RESPONSE_LIMITS.body < most < 1.1 * MAX_UNFINISHED_BYTES  # some bytes are on their way
+        agent.slow = None
+        agent.drain()
+        follower.wait_until(lambda: follower.hosts.revision == 6, CHANGE_LIMIT_US)
+
+    run_with_watch(main)
+
+
 def test_the_first_list_is_learned_from_an_agent_that_is_slow_from_the_start() -> None:
     def main(follower: Follower, agent: Agent) -> None:
         second = Agent(follower.sim, SECOND, revision=9)
--- a/yardspindle/core/hosts/discovery_schedule.py
+++ b/yardspindle/core/hosts/discovery_schedule.py
@@ -68,6 +68,13 @@
         body_limit_us = self.head_us + timeouts.LIST_BODY_US
         return min(head_limit_us, body_limit_us) if self.query is Query.WATCH and self.agent_is_slow else body_limit_us
 
+    def is_outdated(self, answered: int, in_force: int) -> bool:
+        """Whether the answer is to be passed over: the list in force has changed since the call began, and is newer.
+
+        `answered`, `in_force`: their revisions. Without that change, a lower revision means that discovery restarted.
+        """
+        return answered < in_force and self.revision != in_force
+
     @property
     def limit_us(self) -> int:
         """When the call is given up: what its answer has would come too late."""
@@ -126,13 +133,6 @@
             self._current = step.begin = DiscoveryCall(self._begun, query, now_us, revision, self._slow)
         return step
 
-    def is_outdated(self, call: DiscoveryCall, answered: int, in_force: int) -> bool:
-        """Whether an answer is to be passed over: the list in force has changed since the call began, and is newer.
-
-        `answered`, `in_force`: their revisions. Without that change, a lower revision means that discovery restarted.
-        """
-        return answered < in_force and call.revision != in_force
-
     def applied(self, call: DiscoveryCall, now_us: int, changed: bool, went_back: bool = False) -> Step:
         """An answer was applied, or passed over as outdated. `Step.log`: answers have begun to be late.
 
--- a/yardspindle/node/discovery.py
+++ b/yardspindle/node/discovery.py
@@ -168,7 +168,7 @@
     def _apply(self, call: DiscoveryCall, answer: ListAnswer) -> None:
         now, before = self._world.now_us(), self._hosts.revision
         changed = False
-        if not self._schedule.is_outdated(call, answer.revision, before):
+        if not call.is_outdated(answer.revision, before):
             changed = self._hosts.apply(answer, now, requested_full=call.query is Query.FULL_LIST)
             if changed:
                 self._on_change()
