--- a/tests/test_node_lists.py
+++ b/tests/test_node_lists.py
@@ -127,6 +127,21 @@
     assert sim.crashes == []
 
 
+def test_late_calls_to_discovery_are_ended_when_descriptors_run_out() -> None:
+    def main(platform: Platform, node: Node) -> None:
+        platform.down_until_us = platform.sim.now_us() + 5_000_000
+        platform.sleep(4_000_000)
+        freed = 0
+        while node.world.free_descriptor(False):
+            freed += 1
+        assert freed > 1
+        platform.sleep(1_000_000)
+        drain_one(platform)
+        assert wait_for_newest_list(platform, node, 1_000_000) < MIN_GRACE_US
+
+    run_node(main)
+
+
 @pytest.mark.parametrize("below", [False, True])
 def test_a_move_while_the_first_list_is_awaited_brings_readiness_with_the_new_agents_list(below: bool) -> None:
     """For 1.7 s after the start, the stale known list won against the agent's list, whose revisions were lower."""
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -222,21 +222,19 @@
 
 
 def test_an_answer_to_a_newer_call_that_is_older_than_the_list_takes_nothing_back() -> None:
-    """The late watch tells the drain while the call after it, made just before the drain, waits for its answer."""
+    """The late watch tells the drain, and then answers come of calls that were made before the drain."""
 
     def main(follower: Follower, agent: Agent) -> None:
         def slow(agent: Agent, stream: Stream, answer: bytes) -> None:
-            is_watch = b"wait=1000" in agent.requests[-1][1]
-            a.late(350_000 if is_watch else 300_000, as_written=is_watch)(agent, stream, answer)
+            a.late(2_000_000, as_written=agent.requests[-1][1].endswith(b"wait=1000"))(agent, stream, answer)
 
         agent.slow = slow
-        asked = len(agent.requests)
-        follower.wait_until(lambda: len(agent.requests) > asked, 1_300_000)  # the watch is late
-        follower.world.sleep_until(follower.world.now_us() + 10_000)
+        follower.world.sleep_until(follower.world.now_us() + 2_850_000)
         agent.drain()
-        follower.wait_until(lambda: follower.hosts.revision == 6, 200_000)
-        follower.world.sleep_until(follower.world.now_us() + 600_000)
-        assert follower.applied_lists == [(5, ["h0", "h1"]), (6, ["h1"])] and not follower.hosts.rejection
+        follower.wait_until(lambda: follower.hosts.revision == 6, 250_000)
+        late = connections(follower)
+        follower.world.sleep_until(follower.world.now_us() + 2_500_000)
+        assert late > 2 and follower.applied_lists == [(5, ["h0", "h1"]), (6, ["h1"])]
         assert all(b"index=" in target for _, target in agent.requests[1:])  # no doubt that needs the full list
 
     run_with_watch(main)
