End the task that calls discovery when its session is closed by a move

What was seen, reading the change once more: a SIGHUP that moves discovery in the very turn in which a call becomes late closes the session, and then the task that makes the calls runs once more, as it had been woken before.

Change: it ends then. test_a_move_in_the_moment_in_which_a_call_becomes_late_ends_all_calls plays the turn, and failed with that KeyError before.

--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -208,6 +208,25 @@
     run_with_watch(main)
 
 
+def test_a_move_in_the_moment_in_which_a_call_becomes_late_ends_all_calls() -> None:
+    """The task that makes the calls had been woken, and cut off a call that the move had ended: KeyError."""
+
+    def main(follower: Follower, agent: Agent) -> None:
+        second = Agent(follower.sim, SECOND, revision=8)
+        agent.slow = a.silent
+        follower.world.sleep_until(follower.world.now_us() + 2_000_000)
+        session = follower.discovery._session
+        assert session is not None
+        period_us = timeouts.POLL_WAIT_US + timeouts.AGENT_RESPONSE_US + timeouts.AGENT_RETRY_PAUSE_US
+        follower.world.sleep_until(session._schedule.next_event_us() + period_us)  # its timer is set before the call's
+        follower.discovery.change_address(address(SECOND))
+        follower.wait_until(lambda: follower.hosts.revision == 8, 100_000)
+        follower.world.sleep_until(follower.world.now_us() + 100_000)
+        assert connections(follower) == 1 and second.requests
+
+    run_with_watch(main)  # asserts that no task has failed
+
+
 def test_an_answer_to_an_older_call_takes_nothing_back() -> None:
     def main(follower: Follower, agent: Agent) -> None:
         delays_us = [3_000_000]  # of the watch alone
--- a/yardspindle/node/discovery.py
+++ b/yardspindle/node/discovery.py
@@ -105,11 +105,12 @@
         self._open: dict[DiscoveryCall, OpenCall] = {}
         self._progress = world.signal()  # set when a call has ended or its answer has begun
         self._unfinished_bytes = 0
+        self._closed = False
         self._error: Exception | None = None  # an error of a call's task that was not expected
 
     def run(self) -> None:
-        """Make the calls until cancelled."""
-        while True:
+        """Make the calls until the session is closed."""
+        while not self._closed:
             self._progress = self._world.signal()
             step = self._schedule.advance(self._world.now_us(), self._hosts.revision)
             self._perform(step)
@@ -122,6 +123,7 @@
 
     def close(self) -> None:
         """End all calls; answers that arrive later are ignored."""
+        self._closed = True
         for open_call in self._open.values():
             open_call.cut_off()
         self._open.clear()
